--- /dev/null
+++ b/Source/Decisions/clError.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <boost/outcome/result.hpp>
+#include <boost/outcome/try.hpp>
+#include <string>
+#include <string_view>
+
+namespace catkinloom {
+
+/// Every way in which a request or an operator's command can fail.
+enum class error_kind
+{
+  BadRequest,
+  BadSessionToken,
+  SessionAhead,
+  UnknownGroup,
+  UnknownRequest,
+  IdempotencyKeyRequired,
+  RequestTooLarge,
+  HeaderTimeout,
+  DeadlineExceeded,
+  Overloaded,
+  NoCurrentPrimary,
+  UpstreamRefused,
+  UpstreamUnreachable,
+  OutcomeUnknown,
+  BadSettings,
+  BadManifest,
+  ManifestConflict,
+  PlatformUnavailable,
+  NotReady,
+};
+
+/// An error as a value: its kind and one sentence for the person reading it.
+struct error
+{
+  error_kind mKind;
+  std::string mDetail;
+};
+
+/// Either a value or an error.  Access to the wrong side stops the process,
+/// because it is a broken invariant of the code.
+template<class T>
+using result = boost::outcome_v2::
+  basic_result<T, error, boost::outcome_v2::policy::terminate>;
+
+/// What is known about a request that did not end in a plain answer.
+enum class request_outcome
+{
+  Done,
+  NotRun,
+  Unknown,
+};
+
+/// Stable name of an error kind, as callers and logs see it.
+std::string_view ErrorName(error_kind aKind);
+
+/// HTTP status that carries an error kind to a caller.
+unsigned HttpStatusOf(error_kind aKind);
+
+/// Stable name of an outcome, as callers and logs see it.
+std::string_view OutcomeName(request_outcome aOutcome);
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Decisions/clGroupTable.cxx
@@ -0,0 +1,192 @@
+#include "clGroupTable.h"
+
+#include <algorithm>
+
+namespace catkinloom {
+
+namespace {
+
+bool
+SameInstance(const manifest_instance& aLeft, const manifest_instance& aRight)
+{
+  return aLeft.mName == aRight.mName && aLeft.mAddress == aRight.mAddress;
+}
+
+/// Keeps what is known about instances that both rows hold.
+void
+CarryEvidence(group_row& aOld, group_row& aNew)
+{
+  aNew.mHeads = aOld.mHeads;
+  for (instance_row& fresh : aNew.mInstances) {
+    for (instance_row& old : aOld.mInstances) {
+      if (!SameInstance(old.mDeclared, fresh.mDeclared)) {
+        continue;
+      }
+      manifest_instance declared = fresh.mDeclared;
+      fresh = std::move(old);
+      fresh.mDeclared = std::move(declared);
+      break;
+    }
+  }
+}
+
+group_row
+RowFor(const manifest_group& aDeclared)
+{
+  group_row row;
+  row.mName = aDeclared.mName;
+  row.mAcknowledge = aDeclared.mAcknowledge;
+  for (const manifest_instance& instance : aDeclared.mInstances) {
+    row.mInstances.push_back({});
+    row.mInstances.back().mDeclared = instance;
+  }
+  return row;
+}
+
+} // namespace
+
+void
+head_history::Add(head_sample aSample)
+{
+  if (mCount > 0) {
+    const head_sample& last = mSamples[(mNext + kSamples - 1) % kSamples];
+    const bool sameHead = last.mHead == aSample.mHead;
+    const bool tooClose = aSample.mSentAt - last.mSentAt < kSpacing;
+    if (aSample.mSentAt <= last.mSentAt || (tooClose && !sameHead)) {
+      return;
+    }
+    if (sameHead) {
+      // The log did not move: the later moment proves more.
+      mSamples[(mNext + kSamples - 1) % kSamples].mSentAt = aSample.mSentAt;
+      return;
+    }
+  }
+  mSamples[mNext] = aSample;
+  mNext = (mNext + 1) % kSamples;
+  mCount = std::min(mCount + 1, kSamples);
+}
+
+std::optional<time_point>
+head_history::FreshAt(log_position aPosition, time_point aConfirmedAt) const
+{
+  for (std::size_t back = 1; back <= mCount; ++back) {
+    const head_sample& sample = mSamples[(mNext + kSamples - back) % kSamples];
+    if (sample.mHead <= aPosition) {
+      return std::min(sample.mSentAt, aConfirmedAt);
+    }
+  }
+  return std::nullopt;
+}
+
+void
+group_table::Apply(const std::vector<manifest_group>& aGroups)
+{
+  std::vector<group_row> rows;
+  name_index index;
+  rows.reserve(aGroups.size());
+  for (const manifest_group& declared : aGroups) {
+    rows.push_back(RowFor(declared));
+    if (const auto old = mIndex.Find(declared.mName)) {
+      CarryEvidence(mGroups[*old], rows.back());
+    }
+    index.Add(declared.mName, static_cast<group_row_number>(rows.size() - 1));
+  }
+  mGroups = std::move(rows);
+  mIndex = std::move(index);
+}
+
+std::optional<group_row_number>
+group_table::Find(std::string_view aName) const
+{
+  return mIndex.Find(aName);
+}
+
+void
+group_table::Record(group_row_number aGroup,
+                    instance_number aInstance,
+                    instance_report aReport,
+                    time_point aSentAt)
+{
+  group_row& group = mGroups[aGroup];
+  instance_row& row = group.mInstances[aInstance];
+  row.mFailingSince.reset();
+  if (row.mReport && aSentAt < row.mSentAt) {
+    return;
+  }
+  if (row.mReport && aReport.mTerm < row.mReport->mTerm) {
+    return;
+  }
+  if (aReport.mLeads && aReport.mTerm >= HighestTerm(group)) {
+    group.mHeads.Add({ aSentAt, aReport.mLog });
+  }
+  row.mReport = std::move(aReport);
+  row.mSentAt = aSentAt;
+}
+
+void
+group_table::RecordFailure(group_row_number aGroup,
+                           instance_number aInstance,
+                           time_point aNow)
+{
+  instance_row& row = mGroups[aGroup].mInstances[aInstance];
+  if (!row.mFailingSince) {
+    row.mFailingSince = aNow;
+  }
+}
+
+term_number
+HighestTerm(const group_row& aGroup)
+{
+  term_number highest = 0;
+  for (const instance_row& row : aGroup.mInstances) {
+    if (row.mReport) {
+      highest = std::max(highest, row.mReport->mTerm);
+    }
+  }
+  return highest;
+}
+
+std::optional<time_point>
+TermConfirmedAt(const group_row& aGroup, term_number aTerm)
+{
+  std::array<time_point, kMaxInstancesPerGroup> sentAt;
+  std::size_t count = 0;
+  for (const instance_row& row : aGroup.mInstances) {
+    if (row.mReport && row.mReport->mTerm == aTerm) {
+      sentAt[count++] = row.mSentAt;
+    }
+  }
+  const std::size_t majority = aGroup.Majority();
+  if (count < majority) {
+    return std::nullopt;
+  }
+  std::sort(sentAt.begin(), sentAt.begin() + count, std::greater<>{});
+  return sentAt[majority - 1];
+}
+
+bool
+IsConfirmed(const group_row& aGroup, term_number aTerm, log_position aPosition)
+{
+  std::size_t holders = 0;
+  for (const instance_row& row : aGroup.mInstances) {
+    const bool holds = row.mReport && row.mReport->mTerm == aTerm &&
+                       row.mReport->mLog >= aPosition;
+    holders += holds ? 1 : 0;
+  }
+  return holders >= aGroup.Majority();
+}
+
+std::optional<instance_number>
+PrimaryOf(const group_row& aGroup)
+{
+  const term_number highest = HighestTerm(aGroup);
+  for (instance_number i = 0; i < aGroup.mInstances.size(); ++i) {
+    const auto& report = aGroup.mInstances[i].mReport;
+    if (report && report->mLeads && report->mTerm == highest) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Decisions/clGroupTable.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "clClock.h"
+#include "clLogPosition.h"
+#include "clManifest.h"
+#include "clNameIndex.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace catkinloom {
+
+/// Row number of a group in the group table.
+using group_row_number = std::uint32_t;
+
+/// Number of an instance within its group.
+using instance_number = std::uint32_t;
+
+/// Most instances that one group may have.
+constexpr std::size_t kMaxInstancesPerGroup = 9;
+
+/// What one instance said about itself in one answer.
+struct instance_report
+{
+  /// Term that the instance has adopted.
+  term_number mTerm = 0;
+  /// Last entry of its log.
+  log_position mLog;
+  /// It is the primary of mTerm.
+  bool mLeads = false;
+  /// How long it has not heard from its primary; zero on a primary.
+  milliseconds mPrimarySilence{ 0 };
+  /// Instance that it follows; empty when it follows none.
+  std::string mFollows;
+  /// Connections that the instance counts as open, from everyone.
+  std::uint32_t mConnections = 0;
+  /// Connections that the instance counts as open from this proxy.
+  std::uint32_t mOwnConnections = 0;
+};
+
+/// One instance and the freshest evidence about it.
+struct instance_row
+{
+  manifest_instance mDeclared;
+  std::optional<instance_report> mReport;
+  /// When the question was sent to which mReport is the answer.
+  time_point mSentAt;
+  /// When the first of the present run of failures was seen.
+  std::optional<time_point> mFailingSince;
+  /// The platform's list says that the VM is leaving.
+  bool mLeaving = false;
+  /// Requests that this proxy has in flight on the instance.
+  std::uint32_t mInFlight = 0;
+  /// Smoothed answer time of data requests.
+  nanoseconds mAnswerTime{ 0 };
+};
+
+/// One observation of where the primary's log ended.
+struct head_sample
+{
+  time_point mSentAt;
+  log_position mHead;
+};
+
+/// Recent observations of the primary's log end, oldest overwritten first.
+class head_history
+{
+public:
+  /// Adds an observation; observations closer than the spacing are merged by
+  /// keeping the earlier one, so that the history covers a long age.
+  void Add(head_sample aSample);
+
+  /// Latest moment, not after aConfirmedAt, at which the primary's log ended
+  /// at or before aPosition.  Empty when no observation proves one.
+  std::optional<time_point> FreshAt(log_position aPosition,
+                                    time_point aConfirmedAt) const;
+
+private:
+  static constexpr std::size_t kSamples = 128;
+  static constexpr milliseconds kSpacing{ 50 };
+
+  std::array<head_sample, kSamples> mSamples{};
+  std::size_t mCount = 0;
+  std::size_t mNext = 0;
+};
+
+/// One database group.
+struct group_row
+{
+  std::string mName;
+  acknowledge_policy mAcknowledge = acknowledge_policy::Confirmed;
+  std::vector<instance_row> mInstances;
+  head_history mHeads;
+
+  /// Instances that make a majority.
+  std::size_t Majority() const { return mInstances.size() / 2 + 1; }
+};
+
+/// All groups that this proxy knows, found by name or by row.
+class group_table
+{
+public:
+  /// Takes over the declared groups.  Evidence about an instance survives
+  /// when its name and address are unchanged.
+  void Apply(const std::vector<manifest_group>& aGroups);
+
+  std::optional<group_row_number> Find(std::string_view aName) const;
+
+  group_row& Group(group_row_number aGroup) { return mGroups[aGroup]; }
+  const group_row& Group(group_row_number aGroup) const
+  {
+    return mGroups[aGroup];
+  }
+
+  std::size_t Size() const { return mGroups.size(); }
+
+  /// Records an instance's answer to a question sent at aSentAt.  Answers
+  /// older than the one on record are ignored.
+  void Record(group_row_number aGroup,
+              instance_number aInstance,
+              instance_report aReport,
+              time_point aSentAt);
+
+  /// Records that an instance did not answer.
+  void RecordFailure(group_row_number aGroup,
+                     instance_number aInstance,
+                     time_point aNow);
+
+private:
+  std::vector<group_row> mGroups;
+  name_index mIndex;
+};
+
+/// Highest term that any instance of the group has reported.
+term_number HighestTerm(const group_row& aGroup);
+
+/// Latest moment at which a majority still held aTerm and none of that
+/// majority had adopted a later one.  Empty when no majority reported it.
+std::optional<time_point> TermConfirmedAt(const group_row& aGroup,
+                                          term_number aTerm);
+
+/// True when a majority reported aTerm and a log that reaches aPosition.
+bool IsConfirmed(const group_row& aGroup,
+                 term_number aTerm,
+                 log_position aPosition);
+
+/// The instance that leads the highest reported term, if one does.
+std::optional<instance_number> PrimaryOf(const group_row& aGroup);
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Decisions/clPromotionSystem.cxx
@@ -0,0 +1,246 @@
+#include "clPromotionSystem.h"
+
+#include <algorithm>
+
+namespace catkinloom {
+
+namespace {
+
+std::size_t
+CountGrants(const std::vector<std::optional<log_position>>& aGrants)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aGrants.begin(), aGrants.end(), [](const auto& aGrant) {
+      return aGrant.has_value();
+    }));
+}
+
+instance_number
+LongestLog(const std::vector<std::optional<log_position>>& aGrants)
+{
+  instance_number best = 0;
+  for (instance_number i = 0; i < aGrants.size(); ++i) {
+    if (aGrants[i] && (!aGrants[best] || *aGrants[i] > *aGrants[best])) {
+      best = i;
+    }
+  }
+  return best;
+}
+
+} // namespace
+
+promotion_system::promotion_row&
+promotion_system::RowOf(const group_table& aTable, group_row_number aGroup)
+{
+  if (mRows.size() < aTable.Size()) {
+    mRows.resize(aTable.Size());
+  }
+  promotion_row& row = mRows[aGroup];
+  const std::size_t instances = aTable.Group(aGroup).mInstances.size();
+  row.mGrants.resize(instances);
+  row.mRepairedAt.resize(instances);
+  return row;
+}
+
+bool
+promotion_system::IsPromoting(group_row_number aGroup) const
+{
+  return aGroup < mRows.size() &&
+         mRows[aGroup].mPhase != promotion_phase::Watching;
+}
+
+bool
+promotion_system::IsPrimaryLost(const group_row& aGroup, time_point aNow) const
+{
+  const auto primary = PrimaryOf(aGroup);
+  std::size_t silent = 0;
+  for (instance_number i = 0; i < aGroup.mInstances.size(); ++i) {
+    const instance_row& row = aGroup.mInstances[i];
+    const bool isFresh =
+      row.mReport && aNow - row.mSentAt <= mSettings.mReportLifetime;
+    if (!isFresh || row.mFailingSince || i == primary) {
+      continue;
+    }
+    const bool hearsNoPrimary =
+      !primary ||
+      row.mReport->mPrimarySilence >= mSettings.mPrimarySilenceLimit;
+    silent += hearsNoPrimary ? 1 : 0;
+  }
+  return silent >= aGroup.Majority();
+}
+
+void
+promotion_system::Tick(const group_table& aTable,
+                       group_row_number aGroup,
+                       std::size_t aRank,
+                       time_point aNow,
+                       std::vector<promotion_command>& aCommands)
+{
+  promotion_row& row = RowOf(aTable, aGroup);
+  const group_row& group = aTable.Group(aGroup);
+  if (row.mPhase == promotion_phase::Watching) {
+    Watch(aTable, aGroup, row, aRank, aNow, aCommands);
+    return;
+  }
+  const bool outdated = HighestTerm(group) > row.mTerm;
+  if (outdated || aNow - row.mSince > mSettings.mAttemptTimeout) {
+    row.mPhase = promotion_phase::Watching;
+    row.mLostSince.reset();
+    return;
+  }
+  PromoteWhenFenced(group, aGroup, row, aNow, aCommands);
+}
+
+void
+promotion_system::Watch(const group_table& aTable,
+                        group_row_number aGroup,
+                        promotion_row& aRow,
+                        std::size_t aRank,
+                        time_point aNow,
+                        std::vector<promotion_command>& aCommands)
+{
+  const group_row& group = aTable.Group(aGroup);
+  if (!IsPrimaryLost(group, aNow)) {
+    aRow.mLostSince.reset();
+    Repair(group, aGroup, aRow, aRank, aNow, aCommands);
+    return;
+  }
+  const term_number highest = HighestTerm(group);
+  if (!aRow.mLostSince || highest != aRow.mLostTerm) {
+    // A higher term without a primary is another proxy's attempt: its time
+    // starts anew, so that it is not overtaken in the middle.
+    const bool othersAttempt = aRow.mLostSince.has_value() ||
+                               (aRow.mTerm != 0 && highest > aRow.mTerm);
+    aRow.mLostSince =
+      othersAttempt ? aNow + mSettings.mAttemptTimeout / 2 : aNow;
+    aRow.mLostTerm = highest;
+  }
+  if (aNow < *aRow.mLostSince + mSettings.mRankDelay * aRank) {
+    return;
+  }
+  StartFence(group, aGroup, aRow, aNow, aCommands);
+}
+
+void
+promotion_system::Repair(const group_row& aGroup,
+                         group_row_number aNumber,
+                         promotion_row& aRow,
+                         std::size_t aRank,
+                         time_point aNow,
+                         std::vector<promotion_command>& aCommands) const
+{
+  const auto primary = PrimaryOf(aGroup);
+  if (!primary) {
+    return;
+  }
+  const std::string& leader = aGroup.mInstances[*primary].mDeclared.mName;
+  const term_number term = aGroup.mInstances[*primary].mReport->mTerm;
+  for (instance_number i = 0; i < aGroup.mInstances.size(); ++i) {
+    const instance_row& row = aGroup.mInstances[i];
+    if (i == *primary || !row.mReport || row.mFailingSince) {
+      continue;
+    }
+    const bool strays =
+      row.mReport->mTerm < term || row.mReport->mFollows != leader;
+    const milliseconds pause = mSettings.mRepairPause * (aRank + 1);
+    if (!strays || aNow - aRow.mRepairedAt[i] < pause) {
+      continue;
+    }
+    aRow.mRepairedAt[i] = aNow;
+    aCommands.push_back(
+      { promotion_verb::Follow, aNumber, i, term, {}, *primary });
+  }
+}
+
+void
+promotion_system::StartFence(const group_row& aGroup,
+                             group_row_number aNumber,
+                             promotion_row& aRow,
+                             time_point aNow,
+                             std::vector<promotion_command>& aCommands)
+{
+  aRow.mPhase = promotion_phase::Fencing;
+  aRow.mTerm = HighestTerm(aGroup) + 1;
+  aRow.mOwner = mIdentity + "/" + std::to_string(++mAttempts);
+  aRow.mSince = aNow;
+  aRow.mFencedAt.reset();
+  std::fill(aRow.mGrants.begin(), aRow.mGrants.end(), std::nullopt);
+  for (instance_number i = 0; i < aGroup.mInstances.size(); ++i) {
+    aCommands.push_back(
+      { promotion_verb::Fence, aNumber, i, aRow.mTerm, aRow.mOwner });
+  }
+}
+
+void
+promotion_system::PromoteWhenFenced(
+  const group_row& aGroup,
+  group_row_number aNumber,
+  promotion_row& aRow,
+  time_point aNow,
+  std::vector<promotion_command>& aCommands) const
+{
+  if (aRow.mPhase != promotion_phase::Fencing || !aRow.mFencedAt) {
+    return;
+  }
+  // Under the Primary policy another proxy may still acknowledge on the
+  // strength of a permit that it got just before the fence.
+  const bool permitsCount = aGroup.mAcknowledge == acknowledge_policy::Primary;
+  const milliseconds wait = permitsCount
+                              ? mSettings.mTermPermit * 11 / 10
+                              : milliseconds(0);
+  if (aNow < *aRow.mFencedAt + wait) {
+    return;
+  }
+  aRow.mPhase = promotion_phase::Promoting;
+  aRow.mChosen = LongestLog(aRow.mGrants);
+  aCommands.push_back({ promotion_verb::Promote,
+                        aNumber,
+                        aRow.mChosen,
+                        aRow.mTerm,
+                        aRow.mOwner });
+}
+
+void
+promotion_system::OnAnswer(group_table& aTable,
+                           const promotion_command& aCommand,
+                           const promotion_answer& aAnswer,
+                           time_point aNow,
+                           std::vector<promotion_command>& aCommands)
+{
+  aTable.Record(
+    aCommand.mGroup, aCommand.mInstance, aAnswer.mReport, aAnswer.mSentAt);
+  promotion_row& row = RowOf(aTable, aCommand.mGroup);
+  const group_row& group = aTable.Group(aCommand.mGroup);
+  const bool isOurs = row.mPhase != promotion_phase::Watching &&
+                      aCommand.mOwner == row.mOwner && aAnswer.mGranted;
+  if (!isOurs) {
+    return;
+  }
+  if (aCommand.mVerb == promotion_verb::Fence) {
+    row.mGrants[aCommand.mInstance] = aAnswer.mReport.mLog;
+    if (!row.mFencedAt && CountGrants(row.mGrants) >= group.Majority()) {
+      row.mFencedAt = aNow;
+    }
+    PromoteWhenFenced(group, aCommand.mGroup, row, aNow, aCommands);
+    return;
+  }
+  row.mPhase = promotion_phase::Watching;
+  row.mLostSince.reset();
+  Repair(group, aCommand.mGroup, row, 0, aNow, aCommands);
+}
+
+std::string_view
+VerbName(promotion_verb aVerb)
+{
+  switch (aVerb) {
+    case promotion_verb::Fence:
+      return "fence";
+    case promotion_verb::Promote:
+      return "promote";
+    case promotion_verb::Follow:
+      return "follow";
+  }
+  return "follow";
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Runtime/clEndpoint.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "clError.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <string_view>
+
+namespace catkinloom {
+
+/// Reads `IP:port`.  Errors: BadSettings.
+result<boost::asio::ip::tcp::endpoint> ParseEndpoint(std::string_view aText);
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Runtime/clEventLoop.cxx
@@ -0,0 +1,143 @@
+#include "clEventLoop.h"
+
+#include "clLog.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/fiber/algo/algorithm.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+#include <ctime>
+
+namespace catkinloom {
+
+namespace {
+
+constexpr std::size_t kStackBytes = 128 * 1024;
+
+/// Round-robin order that also tells whether any fiber can run.
+class loop_algorithm : public boost::fibers::algo::algorithm
+{
+public:
+  void awakened(boost::fibers::context* aContext) noexcept override
+  {
+    aContext->ready_link(mQueue);
+    mReady += IsDispatcher(aContext) ? 0 : 1;
+  }
+
+  boost::fibers::context* pick_next() noexcept override
+  {
+    if (mQueue.empty()) {
+      return nullptr;
+    }
+    boost::fibers::context* context = &mQueue.front();
+    mQueue.pop_front();
+    mReady -= IsDispatcher(context) ? 0 : 1;
+    return context;
+  }
+
+  bool has_ready_fibers() const noexcept override { return mReady > 0; }
+
+  // The loop's own fiber never blocks outside the socket events, so there is
+  // always a fiber to pick and nothing to wait for here.
+  void suspend_until(
+    const std::chrono::steady_clock::time_point&) noexcept override
+  {
+  }
+  void notify() noexcept override {}
+
+private:
+  static bool IsDispatcher(boost::fibers::context* aContext)
+  {
+    return aContext->is_context(boost::fibers::type::dispatcher_context);
+  }
+
+  boost::fibers::scheduler::ready_queue_type mQueue;
+  std::size_t mReady = 0;
+};
+
+thread_local loop_algorithm* sAlgorithm = nullptr;
+
+} // namespace
+
+time_point
+boot_clock::Now() const
+{
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return time_point(std::chrono::seconds(now.tv_sec) +
+                    nanoseconds(now.tv_nsec));
+}
+
+event_loop::event_loop()
+  : mContext(1)
+  , mWork(mContext.get_executor())
+  , mStacks(kStackBytes)
+{
+  boost::intrusive_ptr<loop_algorithm> algorithm(new loop_algorithm);
+  sAlgorithm = algorithm.get();
+  boost::fibers::context::active()->get_scheduler()->set_algo(algorithm);
+}
+
+event_loop::~event_loop() = default;
+
+void
+event_loop::Spawn(std::function<void()> aJob)
+{
+  boost::fibers::fiber(boost::fibers::launch::post,
+                       std::allocator_arg,
+                       mStacks,
+                       std::move(aJob))
+    .detach();
+}
+
+void
+event_loop::Sleep(nanoseconds aTime)
+{
+  boost::asio::steady_timer timer(mContext, aTime);
+  fiber_wait wait;
+  timer.async_wait([&wait](const boost::system::error_code&) { wait.Notify(); });
+  wait.Wait();
+}
+
+void
+event_loop::Run()
+{
+  while (!mStopped) {
+    if (sAlgorithm->has_ready_fibers()) {
+      mContext.poll();
+      boost::this_fiber::yield();
+      continue;
+    }
+    if (mContext.poll() == 0 && !sAlgorithm->has_ready_fibers()) {
+      log_writer::Instance().Flush();
+      mContext.run_one();
+    }
+  }
+  log_writer::Instance().Flush();
+}
+
+void
+fiber_wait::Wait()
+{
+  if (mDone) {
+    return;
+  }
+  mWaiter = boost::fibers::context::active();
+  while (!mDone) {
+    mWaiter->suspend();
+  }
+}
+
+void
+fiber_wait::Notify()
+{
+  if (mDone) {
+    return;
+  }
+  mDone = true;
+  if (mWaiter != nullptr) {
+    boost::fibers::context::active()->schedule(mWaiter);
+  }
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Runtime/clHttpClient.cxx
@@ -0,0 +1,120 @@
+#include "clHttpClient.h"
+
+#include "clEndpoint.h"
+#include "clEventLoop.h"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <sys/socket.h>
+
+namespace catkinloom {
+
+namespace beast = boost::beast;
+using tcp = boost::asio::ip::tcp;
+
+http_connection_out::http_connection_out(event_loop& aLoop)
+  : mLoop(aLoop)
+  , mStream(aLoop.Context())
+{
+}
+
+result<void>
+http_connection_out::Connect(const std::string& aAddress, milliseconds aTimeout)
+{
+  BOOST_OUTCOME_TRY(const tcp::endpoint endpoint, ParseEndpoint(aAddress));
+  beast::error_code code;
+  fiber_wait wait;
+  mStream.expires_after(aTimeout);
+  mStream.async_connect(endpoint, [&](const beast::error_code& aResult) {
+    code = aResult;
+    wait.Notify();
+  });
+  wait.Wait();
+  if (code) {
+    Close();
+    return error{ error_kind::UpstreamUnreachable,
+                  aAddress + ": " + code.message() };
+  }
+  mOpen = true;
+  beast::error_code ignored;
+  mStream.socket().set_option(tcp::no_delay(true), ignored);
+  return boost::outcome_v2::success();
+}
+
+exchange_result
+http_connection_out::Exchange(const http_request& aRequest,
+                              nanoseconds aTimeout)
+{
+  exchange_result outcome;
+  beast::error_code code;
+  std::size_t written = 0;
+  mStream.expires_after(aTimeout);
+  fiber_wait writeWait;
+  http::async_write(mStream,
+                    aRequest,
+                    [&](const beast::error_code& aResult, std::size_t aBytes) {
+                      code = aResult;
+                      written = aBytes;
+                      writeWait.Notify();
+                    });
+  writeWait.Wait();
+  if (written > 0) {
+    outcome.mProgress = exchange_progress::MaybeSent;
+  }
+  if (!code) {
+    fiber_wait readWait;
+    http::async_read(mStream,
+                     mBuffer,
+                     outcome.mResponse,
+                     [&](const beast::error_code& aResult, std::size_t) {
+                       code = aResult;
+                       readWait.Notify();
+                     });
+    readWait.Wait();
+  }
+  if (code) {
+    outcome.mFailure = code.message();
+    Close();
+    return outcome;
+  }
+  mStream.expires_never();
+  if (!outcome.mResponse.keep_alive()) {
+    Close();
+  }
+  return outcome;
+}
+
+bool
+http_connection_out::IsQuiet()
+{
+  char probe = 0;
+  const auto got = ::recv(
+    mStream.socket().native_handle(), &probe, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void
+http_connection_out::Close()
+{
+  mOpen = false;
+  mBuffer.clear();
+  mStream.close();
+}
+
+result<http_response>
+FetchOnce(event_loop& aLoop,
+          const std::string& aAddress,
+          const http_request& aRequest,
+          milliseconds aTimeout)
+{
+  http_connection_out connection(aLoop);
+  BOOST_OUTCOME_TRY(connection.Connect(aAddress, aTimeout));
+  exchange_result outcome = connection.Exchange(aRequest, aTimeout);
+  if (!outcome.IsOk()) {
+    return error{ error_kind::PlatformUnavailable,
+                  aAddress + ": " + outcome.mFailure };
+  }
+  return std::move(outcome.mResponse);
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Runtime/clHttpClient.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "clClock.h"
+#include "clError.h"
+#include "clHttpMessage.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <string>
+
+namespace catkinloom {
+
+class event_loop;
+
+/// How far a failed exchange got.
+enum class exchange_progress
+{
+  /// No byte of the request left this process.
+  NotSent,
+  /// The other side may have read the request.
+  MaybeSent,
+};
+
+/// Result of one exchange on a connection.
+struct exchange_result
+{
+  /// Empty detail means that mResponse is whole.
+  std::string mFailure;
+  exchange_progress mProgress = exchange_progress::NotSent;
+  http_response mResponse;
+
+  bool IsOk() const { return mFailure.empty(); }
+};
+
+/// One outgoing HTTP/1.1 connection, used by one fiber at a time.
+class http_connection_out
+{
+public:
+  explicit http_connection_out(event_loop& aLoop);
+
+  /// Connects within the timeout.  Errors: UpstreamUnreachable, BadSettings.
+  result<void> Connect(const std::string& aAddress, milliseconds aTimeout);
+
+  /// Sends a request and reads its whole answer.  After a failure the
+  /// connection is closed, since a late answer could follow.
+  exchange_result Exchange(const http_request& aRequest, nanoseconds aTimeout);
+
+  /// False when the other side closed or sent something unasked.
+  bool IsQuiet();
+
+  void Close();
+  bool IsOpen() const { return mOpen; }
+
+private:
+  event_loop& mLoop;
+  boost::beast::tcp_stream mStream;
+  boost::beast::flat_buffer mBuffer;
+  bool mOpen = false;
+};
+
+/// Opens a connection for one exchange.  Errors: PlatformUnavailable when
+/// nothing usable came back.
+result<http_response> FetchOnce(event_loop& aLoop,
+                                const std::string& aAddress,
+                                const http_request& aRequest,
+                                milliseconds aTimeout);
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Runtime/clHttpServer.cxx
@@ -0,0 +1,311 @@
+#include "clHttpServer.h"
+
+#include "clEndpoint.h"
+#include "clEventLoop.h"
+#include "clLog.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json/serialize.hpp>
+#include <set>
+#include <sys/socket.h>
+
+namespace catkinloom {
+
+namespace beast = boost::beast;
+using tcp = boost::asio::ip::tcp;
+
+namespace {
+
+/// Connections accepted ahead of the loop.
+constexpr int kBacklog = 4096;
+
+http_response
+ErrorResponse(error_kind aKind, std::string_view aDetail)
+{
+  boost::json::object body{ { "error", ErrorName(aKind) },
+                            { "detail", aDetail } };
+  http_response response =
+    MakeResponse(HttpStatusOf(aKind), boost::json::serialize(body));
+  SetHeader(response, header::kError, ErrorName(aKind));
+  SetHeader(response, header::kOutcome, OutcomeName(request_outcome::NotRun));
+  return response;
+}
+
+error_kind
+KindOfReadError(const beast::error_code& aCode)
+{
+  if (aCode == beast::error::timeout) {
+    return error_kind::HeaderTimeout;
+  }
+  if (aCode == http::error::body_limit || aCode == http::error::header_limit ||
+      aCode == http::error::buffer_overflow) {
+    return error_kind::RequestTooLarge;
+  }
+  return error_kind::BadRequest;
+}
+
+bool
+IsDisconnect(const beast::error_code& aCode)
+{
+  return aCode == http::error::end_of_stream ||
+         aCode == http::error::partial_message ||
+         aCode.category() == boost::system::system_category();
+}
+
+} // namespace
+
+class http_connection;
+
+class http_server::shared_state
+  : public std::enable_shared_from_this<http_server::shared_state>
+{
+public:
+  shared_state(event_loop& aLoop, http_server_limits aLimits)
+    : mLoop(aLoop)
+    , mLimits(aLimits)
+    , mAcceptor(aLoop.Context())
+  {
+  }
+
+  void Accept();
+
+  event_loop& mLoop;
+  http_server_limits mLimits;
+  tcp::acceptor mAcceptor;
+  http_handler mHandler;
+  http_closed_handler mClosed;
+  std::set<http_connection*> mConnections;
+  std::uint64_t mAccepted = 0;
+  std::size_t mBusy = 0;
+  bool mDraining = false;
+};
+
+/// One accepted connection.  It lives as long as an operation refers to it.
+class http_connection : public std::enable_shared_from_this<http_connection>
+{
+public:
+  http_connection(std::shared_ptr<http_server::shared_state> aServer,
+                  tcp::socket aSocket,
+                  std::uint64_t aNumber)
+    : mServer(std::move(aServer))
+    , mSocket(std::move(aSocket))
+    , mPeer{ aNumber }
+  {
+    mServer->mConnections.insert(this);
+  }
+
+  ~http_connection()
+  {
+    mServer->mConnections.erase(this);
+    if (mServer->mClosed) {
+      mServer->mClosed(mPeer);
+    }
+  }
+
+  /// Waits for the next request without a fiber or a buffer.
+  void WaitForRequest()
+  {
+    mIdle = true;
+    mSocket.async_wait(
+      tcp::socket::wait_read,
+      [self = shared_from_this()](const beast::error_code& aCode) {
+        self->mIdle = false;
+        if (aCode) {
+          return;
+        }
+        self->mServer->mLoop.Spawn([self] { self->ServeReadable(); });
+      });
+  }
+
+  void CloseIfIdle()
+  {
+    if (mIdle) {
+      beast::error_code ignored;
+      mSocket.shutdown(tcp::socket::shutdown_both, ignored);
+      mSocket.close(ignored);
+    }
+  }
+
+private:
+  /// Serves every request that is already here, then waits again.
+  void ServeReadable()
+  {
+    char probe = 0;
+    if (::recv(mSocket.native_handle(), &probe, 1, MSG_PEEK | MSG_DONTWAIT) ==
+        0) {
+      return;
+    }
+    beast::tcp_stream stream(std::move(mSocket));
+    beast::flat_buffer buffer;
+    bool keep = true;
+    do {
+      ++mServer->mBusy;
+      keep = ServeOne(stream, buffer);
+      --mServer->mBusy;
+    } while (keep && buffer.size() > 0);
+    if (!keep) {
+      beast::error_code ignored;
+      stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+      return;
+    }
+    mSocket = stream.release_socket();
+    WaitForRequest();
+  }
+
+  bool ServeOne(beast::tcp_stream& aStream, beast::flat_buffer& aBuffer)
+  {
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(
+      static_cast<std::uint32_t>(mServer->mLimits.mHeaderBytes));
+    parser.body_limit(mServer->mLimits.mBodyBytes);
+    const beast::error_code code = Read(aStream, aBuffer, parser);
+    if (code && IsDisconnect(code)) {
+      return false;
+    }
+    if (code) {
+      http_response refusal =
+        ErrorResponse(KindOfReadError(code), "Cannot read the request: " +
+                                               code.message() + ".");
+      refusal.keep_alive(false);
+      Log(log_level::Info, "caller", "Request refused. cause={}", code.message());
+      Write(aStream, refusal);
+      return false;
+    }
+    http_request request = parser.release();
+    const bool keepAlive = request.keep_alive();
+    http_response response = mServer->mHandler(request, mPeer);
+    response.keep_alive(keepAlive && !mServer->mDraining);
+    return Write(aStream, response) && response.keep_alive();
+  }
+
+  beast::error_code Read(beast::tcp_stream& aStream,
+                         beast::flat_buffer& aBuffer,
+                         http::request_parser<http::string_body>& aParser) const
+  {
+    beast::error_code code;
+    fiber_wait wait;
+    aStream.expires_after(mServer->mLimits.mReadTimeout);
+    http::async_read(
+      aStream,
+      aBuffer,
+      aParser,
+      [&](const beast::error_code& aResult, std::size_t) {
+        code = aResult;
+        wait.Notify();
+      });
+    wait.Wait();
+    aStream.expires_never();
+    return code;
+  }
+
+  bool Write(beast::tcp_stream& aStream, http_response& aResponse) const
+  {
+    aResponse.prepare_payload();
+    beast::error_code code;
+    fiber_wait wait;
+    aStream.expires_after(mServer->mLimits.mWriteTimeout);
+    http::async_write(aStream,
+                      aResponse,
+                      [&](const beast::error_code& aResult, std::size_t) {
+                        code = aResult;
+                        wait.Notify();
+                      });
+    wait.Wait();
+    aStream.expires_never();
+    return !code;
+  }
+
+  std::shared_ptr<http_server::shared_state> mServer;
+  tcp::socket mSocket;
+  http_peer mPeer;
+  bool mIdle = false;
+};
+
+void
+http_server::shared_state::Accept()
+{
+  mAcceptor.async_accept([self = shared_from_this()](
+                           const beast::error_code& aCode,
+                           tcp::socket aSocket) {
+    if (self->mDraining || !self->mAcceptor.is_open()) {
+      return;
+    }
+    if (!aCode) {
+      beast::error_code ignored;
+      aSocket.set_option(tcp::no_delay(true), ignored);
+      std::make_shared<http_connection>(
+        self, std::move(aSocket), ++self->mAccepted)
+        ->WaitForRequest();
+      self->Accept();
+      return;
+    }
+    // Out of descriptors, for one: try again when some may have been freed.
+    Log(log_level::Warning, "caller", "Accept failed. cause={}", aCode.message());
+    self->mLoop.Spawn([self] {
+      self->mLoop.Sleep(milliseconds(100));
+      self->Accept();
+    });
+  });
+}
+
+http_server::http_server(event_loop& aLoop, http_server_limits aLimits)
+  : mState(std::make_shared<shared_state>(aLoop, aLimits))
+{
+}
+
+http_server::~http_server()
+{
+  Drain();
+}
+
+result<void>
+http_server::Listen(const std::string& aAddress,
+                    http_handler aHandler,
+                    http_closed_handler aClosed)
+{
+  BOOST_OUTCOME_TRY(const tcp::endpoint endpoint, ParseEndpoint(aAddress));
+  mState->mHandler = std::move(aHandler);
+  mState->mClosed = std::move(aClosed);
+  beast::error_code code;
+  tcp::acceptor& acceptor = mState->mAcceptor;
+  acceptor.open(endpoint.protocol(), code);
+  acceptor.set_option(tcp::acceptor::reuse_address(true), code);
+  acceptor.bind(endpoint, code);
+  if (code) {
+    return error{ error_kind::BadSettings,
+                  "Cannot listen on " + aAddress + ": " + code.message() +
+                    ". Choose a free address of this VM." };
+  }
+  acceptor.listen(kBacklog, code);
+  mState->Accept();
+  return boost::outcome_v2::success();
+}
+
+void
+http_server::Drain()
+{
+  mState->mDraining = true;
+  beast::error_code ignored;
+  mState->mAcceptor.close(ignored);
+  for (http_connection* connection : mState->mConnections) {
+    connection->CloseIfIdle();
+  }
+}
+
+std::size_t
+http_server::Connections() const
+{
+  return mState->mConnections.size();
+}
+
+std::size_t
+http_server::Busy() const
+{
+  return mState->mBusy;
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Runtime/clLog.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <fmt/format.h>
+#include <string>
+#include <string_view>
+
+namespace catkinloom {
+
+/// Importance of a log line, most verbose first.
+enum class log_level
+{
+  Debug,
+  /// One line per routing or placement decision.
+  Decision,
+  Info,
+  Warning,
+  Error,
+};
+
+/// Writes log lines to standard error: the part's fixed prefix, one short
+/// sentence, then key=value pairs.  Lines are gathered and written by Flush,
+/// so that a busy daemon does not make one system call per line.
+class log_writer
+{
+public:
+  /// The writer of this process.
+  static log_writer& Instance();
+
+  /// Reads a level's name.  Returns false when there is no such level.
+  static bool ParseLevel(std::string_view aName, log_level& aLevel);
+
+  void SetLevel(log_level aLevel) { mLevel = aLevel; }
+  bool IsOn(log_level aLevel) const { return aLevel >= mLevel; }
+  void Write(log_level aLevel, std::string_view aPart, std::string_view aText);
+  void Flush();
+
+private:
+  log_level mLevel = log_level::Info;
+  std::string mPending;
+};
+
+/// Formats and writes one line, unless its level is switched off.
+template<class... Args>
+void
+Log(log_level aLevel,
+    std::string_view aPart,
+    fmt::format_string<Args...> aFormat,
+    Args&&... aArgs)
+{
+  log_writer& writer = log_writer::Instance();
+  if (writer.IsOn(aLevel)) {
+    writer.Write(
+      aLevel, aPart, fmt::format(aFormat, std::forward<Args>(aArgs)...));
+  }
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/StandIns/clFakeLoadMain.cxx
@@ -0,0 +1,120 @@
+#include "clEventLoop.h"
+#include "clHttpClient.h"
+
+#include <algorithm>
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+#include <memory>
+#include <vector>
+
+namespace {
+
+using namespace catkinloom;
+
+/// Totals of a load run.
+struct load_totals
+{
+  std::uint64_t mAnswers = 0;
+  std::uint64_t mFailures = 0;
+  unsigned mRunning = 0;
+};
+
+/// Sends the same request over one connection until the time is up.
+void
+RunCaller(event_loop& aLoop,
+          const cxxopts::ParseResult& aOptions,
+          time_point aEnd,
+          load_totals& aTotals)
+{
+  const auto address = aOptions["address"].as<std::string>();
+  http_request request =
+    MakeRequest(http::verb::post,
+                aOptions["target"].as<std::string>(),
+                aOptions["body"].as<std::string>());
+  for (const std::string& pair :
+       aOptions["header"].as<std::vector<std::string>>()) {
+    const std::size_t equals = pair.find('=');
+    SetHeader(request, pair.substr(0, equals), pair.substr(equals + 1));
+  }
+  http_connection_out connection(aLoop);
+  while (aLoop.Clock().Now() < aEnd) {
+    if (!connection.IsOpen() &&
+        !connection.Connect(address, milliseconds(1000))) {
+      ++aTotals.mFailures;
+      aLoop.Sleep(milliseconds(10));
+      continue;
+    }
+    const exchange_result outcome =
+      connection.Exchange(request, milliseconds(5000));
+    const bool ok = outcome.IsOk() && outcome.mResponse.result_int() == 200;
+    (ok ? aTotals.mAnswers : aTotals.mFailures) += 1;
+  }
+  --aTotals.mRunning;
+}
+
+/// Holds open connections that send nothing.
+void
+HoldIdle(event_loop& aLoop, const cxxopts::ParseResult& aOptions)
+{
+  const auto address = aOptions["address"].as<std::string>();
+  std::vector<std::unique_ptr<http_connection_out>> idle;
+  for (unsigned i = 0; i < aOptions["idle"].as<unsigned>(); ++i) {
+    idle.push_back(std::make_unique<http_connection_out>(aLoop));
+    if (!idle.back()->Connect(address, milliseconds(1000))) {
+      idle.pop_back();
+    }
+  }
+  fmt::print("{}\n", idle.size());
+  std::fflush(stdout);
+  aLoop.Sleep(std::chrono::seconds(aOptions["seconds"].as<unsigned>()));
+}
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  cxxopts::Options options("catkinloom-fake-load",
+                           "Stand-in for many callers at once.");
+  options.add_options()("address", "IP:port", cxxopts::value<std::string>())(
+    "target",
+    "Request target",
+    cxxopts::value<std::string>()->default_value("/"))(
+    "body", "Request body", cxxopts::value<std::string>()->default_value(""))(
+    "header",
+    "NAME=VALUE",
+    cxxopts::value<std::vector<std::string>>()->default_value("X-Load=1"))(
+    "callers", "Connections", cxxopts::value<unsigned>()->default_value("8"))(
+    "idle", "Silent connections", cxxopts::value<unsigned>()->default_value("0"))(
+    "seconds", "Duration", cxxopts::value<unsigned>()->default_value("3"));
+  const auto parsed = options.parse(argc, argv);
+  event_loop loop;
+  load_totals totals;
+  const time_point end =
+    loop.Clock().Now() +
+    std::chrono::seconds(parsed["seconds"].as<unsigned>());
+  if (parsed["idle"].as<unsigned>() > 0) {
+    loop.Spawn([&] {
+      HoldIdle(loop, parsed);
+      loop.Stop();
+    });
+    loop.Run();
+    return 0;
+  }
+  totals.mRunning = parsed["callers"].as<unsigned>();
+  for (unsigned i = 0; i < parsed["callers"].as<unsigned>(); ++i) {
+    loop.Spawn([&] {
+      RunCaller(loop, parsed, end, totals);
+      if (totals.mRunning == 0) {
+        loop.Stop();
+      }
+    });
+  }
+  loop.Run();
+  const double seconds = parsed["seconds"].as<unsigned>();
+  fmt::print("{:.0f} {} {}\n",
+             static_cast<double>(totals.mAnswers) / seconds,
+             totals.mAnswers,
+             totals.mFailures);
+  return 0;
+}
--- /dev/null
+++ b/StandIns/clFakePlatform.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "clEventLoop.h"
+#include "clHttpServer.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace catkinloom {
+
+/// Stand-in for the platform's key-value service and its list of VMs.
+///
+/// Calls: GET /kv?key=K, POST /kv/cas {key, expected, value, lease},
+/// GET /kv/watch?prefix=P&after=R&wait_ms=N, POST /lease {ttl_ms},
+/// POST /lease/keep {id}, GET /vms.  Faults are switched by POST /admin.
+class fake_platform
+{
+public:
+  explicit fake_platform(event_loop& aLoop);
+
+  result<void> Listen(const std::string& aAddress);
+  http_response Handle(const http_request& aRequest);
+
+private:
+  struct kv_entry
+  {
+    std::string mValue;
+    std::uint64_t mRevision = 0;
+    std::uint64_t mLease = 0;
+  };
+
+  struct vm_state
+  {
+    boost::json::array mVms;
+    time_point mVisibleAt;
+  };
+
+  http_response Get(const std::string& aKey);
+  http_response CompareAndSwap(const boost::json::object& aCall);
+  http_response Watch(const std::string& aPrefix,
+                      std::uint64_t aAfter,
+                      milliseconds aWait);
+  http_response Lease(const std::string& aPath,
+                      const boost::json::object& aCall);
+  http_response Vms();
+  http_response Admin(const boost::json::object& aCall);
+  void DropLapsedLeases();
+  boost::json::array ChangesAfter(const std::string& aPrefix,
+                                  std::uint64_t aAfter) const;
+
+  event_loop& mLoop;
+  http_server mServer;
+  std::map<std::string, kv_entry> mEntries;
+  std::map<std::uint64_t, std::pair<milliseconds, time_point>> mLeases;
+  std::vector<std::shared_ptr<fiber_wait>> mWatchers;
+  std::vector<vm_state> mVmHistory;
+  std::uint64_t mRevision = 0;
+  std::uint64_t mNextLease = 1;
+  std::uint64_t mReads = 0;
+  std::uint64_t mWrites = 0;
+  milliseconds mSlow{ 0 };
+  milliseconds mVmLag{ 0 };
+  std::uint64_t mLoseAnswers = 0;
+  bool mOutage = false;
+  bool mGarbage = false;
+};
+
+} // namespace catkinloom
--- /dev/null
+++ b/StandIns/clFakeUpstream.cxx
@@ -0,0 +1,585 @@
+#include "clFakeUpstream.h"
+
+#include "clFakeJson.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace catkinloom {
+
+namespace {
+
+/// A silent connection's caller gives up long before this.
+constexpr milliseconds kSilence{ 60000 };
+constexpr milliseconds kSilenceStep{ 20 };
+
+/// Longest wait of a replica for new entries.
+constexpr milliseconds kPullWait{ 50 };
+constexpr milliseconds kPullTimeout{ 200 };
+constexpr milliseconds kPullPause{ 10 };
+
+/// Entries that one replication answer carries at most.
+constexpr std::size_t kPullBatch = 512;
+
+/// Clients with this prefix are instances of the group, not proxies.
+constexpr std::string_view kReplication = "replication";
+
+bool
+IsProxy(const std::string& aClient)
+{
+  return !aClient.empty() && !aClient.starts_with(kReplication);
+}
+
+/// A connection is named PROXY#NUMBER.
+std::string_view
+ProxyOf(std::string_view aClient)
+{
+  return aClient.substr(0, aClient.find('#'));
+}
+
+} // namespace
+
+class fake_upstream::slot_guard
+{
+public:
+  explicit slot_guard(fake_upstream& aOwner)
+    : mOwner(aOwner)
+  {
+    if (mOwner.mBusySlots >= mOwner.mSettings.mSlots) {
+      auto wait = std::make_shared<fiber_wait>();
+      mOwner.mSlotQueue.push_back(wait);
+      wait->Wait();
+      return;
+    }
+    ++mOwner.mBusySlots;
+  }
+
+  slot_guard(const slot_guard&) = delete;
+  slot_guard& operator=(const slot_guard&) = delete;
+
+  ~slot_guard()
+  {
+    if (mOwner.mSlotQueue.empty()) {
+      --mOwner.mBusySlots;
+      return;
+    }
+    // The slot goes straight to the one that has waited longest.
+    const auto next = mOwner.mSlotQueue.front();
+    mOwner.mSlotQueue.pop_front();
+    next->Notify();
+  }
+
+private:
+  fake_upstream& mOwner;
+};
+
+fake_upstream::fake_upstream(event_loop& aLoop,
+                             fake_upstream_settings aSettings)
+  : mLoop(aLoop)
+  , mSettings(std::move(aSettings))
+  , mServer(aLoop,
+            { 8192, 4 * 1024 * 1024, milliseconds(5000), milliseconds(5000) })
+  , mHeardAt(aLoop.Clock().Now())
+{
+}
+
+result<void>
+fake_upstream::Listen(const std::string& aAddress)
+{
+  mLoop.Spawn([this] { Pull(); });
+  return mServer.Listen(
+    aAddress,
+    [this](http_request& aRequest, const http_peer& aPeer) {
+      return Handle(aRequest, aPeer);
+    },
+    [this](const http_peer& aPeer) { OnClosed(aPeer); });
+}
+
+void
+fake_upstream::OnClosed(const http_peer& aPeer)
+{
+  const auto found = mConnections.find(aPeer.mConnection);
+  if (found == mConnections.end()) {
+    return;
+  }
+  mConnections.erase(found);
+}
+
+std::uint32_t
+fake_upstream::CountConnections(const std::string& aClient) const
+{
+  std::uint32_t count = 0;
+  for (const auto& [number, state] : mConnections) {
+    const bool counts = aClient.empty()
+                          ? IsProxy(state.mClient)
+                          : ProxyOf(state.mClient) == ProxyOf(aClient);
+    count += counts ? 1 : 0;
+  }
+  return count;
+}
+
+bool
+fake_upstream::Admit(connection_state& aConnection, const std::string& aClient)
+{
+  if (!aConnection.mClient.empty() || aClient.empty()) {
+    return true;
+  }
+  aConnection.mClient = aClient;
+  const std::uint32_t open = CountConnections({});
+  mPeakConnections = std::max(mPeakConnections, open);
+  if (IsProxy(aClient) && open > mSettings.mConnections) {
+    ++mRefusedConnections;
+    aConnection.mClient.clear();
+    return false;
+  }
+  if (IsProxy(aClient)) {
+    mLoop.Sleep(mSettings.mConnectionCost);
+  }
+  return true;
+}
+
+http_response
+fake_upstream::Handle(http_request& aRequest, const http_peer& aPeer)
+{
+  const fake_target target =
+    ParseTarget({ aRequest.target().data(), aRequest.target().size() });
+  if (target.mPath == "/admin") {
+    return Admin(ParseObject(aRequest.body()));
+  }
+  if (target.mPath == "/admin/log") {
+    return AdminLog();
+  }
+  connection_state& connection = mConnections[aPeer.mConnection];
+  if (!Admit(connection, std::string(HeaderOf(aRequest, header::kClient)))) {
+    http_response refusal = MakeResponse(503, R"({"error":"connections"})");
+    refusal.keep_alive(false);
+    return refusal;
+  }
+  if (connection.mSilent) {
+    StaySilent(connection);
+    return MakeResponse(503, "{}");
+  }
+  return Dispatch(aRequest, target, connection);
+}
+
+void
+fake_upstream::StaySilent(const connection_state& aConnection)
+{
+  const time_point end = mLoop.Clock().Now() + kSilence;
+  while (!aConnection.mKilled && mLoop.Clock().Now() < end) {
+    mLoop.Sleep(kSilenceStep);
+  }
+}
+
+http_response
+fake_upstream::Dispatch(const http_request& aRequest,
+                        const fake_target& aTarget,
+                        connection_state& aConnection)
+{
+  if (aTarget.mPath == "/execute") {
+    return Execute(aRequest, aConnection);
+  }
+  if (aTarget.mPath == "/status") {
+    return Status(aTarget, aConnection);
+  }
+  if (aTarget.mPath.starts_with("/control/")) {
+    return Control(
+      aTarget.mPath, ParseObject(aRequest.body()), aConnection);
+  }
+  if (aTarget.mPath == "/outcome") {
+    return Outcome(aTarget.Text("key"));
+  }
+  if (aTarget.mPath == "/kill") {
+    for (auto& [number, state] : mConnections) {
+      state.mKilled |= state.mClient == aTarget.Text("connection");
+    }
+    return MakeResponse(200, "{}");
+  }
+  if (aTarget.mPath == "/replicate") {
+    return Replicate(ParseObject(aRequest.body()));
+  }
+  if (aTarget.mPath == "/reset") {
+    if (mFailResets > 0) {
+      --mFailResets;
+      return MakeResponse(500, "{}");
+    }
+    aConnection.mDirty = false;
+    return MakeResponse(200, "{}");
+  }
+  return MakeResponse(404, "{}");
+}
+
+boost::json::object
+fake_upstream::Report(const connection_state& aConnection) const
+{
+  const auto silence = std::chrono::duration_cast<milliseconds>(
+    mLoop.Clock().Now() - mHeardAt);
+  const log_position end = mLog.End();
+  return { { "term", mTerm },
+           { "log_term", end.mTerm },
+           { "log_index", end.mIndex },
+           { "leads", mLeads },
+           { "silence_ms", mLeads ? 0 : silence.count() },
+           { "follows", mFollows },
+           { "connections", CountConnections({}) },
+           { "own_connections",
+             aConnection.mClient.empty()
+               ? 0
+               : CountConnections(aConnection.mClient) } };
+}
+
+void
+fake_upstream::WaitForChange(time_point aEnd)
+{
+  auto wait = std::make_shared<fiber_wait>();
+  mChangeWaiters.push_back(wait);
+  boost::asio::steady_timer timer(mLoop.Context(), aEnd - mLoop.Clock().Now());
+  timer.async_wait(
+    [wait](const boost::system::error_code&) { wait->Notify(); });
+  wait->Wait();
+}
+
+void
+fake_upstream::NotifyChange()
+{
+  for (const auto& waiter : mChangeWaiters) {
+    waiter->Notify();
+  }
+  mChangeWaiters.clear();
+}
+
+http_response
+fake_upstream::Status(const fake_target& aTarget,
+                      const connection_state& aConnection)
+{
+  const log_position wanted{ aTarget.Number("log_term"),
+                             aTarget.Number("log_index") };
+  const term_number term = aTarget.Number("term");
+  const time_point end =
+    mLoop.Clock().Now() + milliseconds(aTarget.Number("wait_ms"));
+  while (mTerm <= term && mLog.End() < wanted && mLoop.Clock().Now() < end) {
+    WaitForChange(end);
+  }
+  return JsonResponse(200, Report(aConnection));
+}
+
+bool
+fake_upstream::Fence(const boost::json::object& aCall)
+{
+  const term_number term = NumberIn(aCall, "term");
+  const std::string owner = TextIn(aCall, "owner");
+  if (term == mTerm && owner == mOwner) {
+    return !mLeads;
+  }
+  if (term <= mTerm) {
+    return false;
+  }
+  mTerm = term;
+  mOwner = owner;
+  mLeads = false;
+  mFollows.clear();
+  mFetched.clear();
+  return true;
+}
+
+bool
+fake_upstream::Promote(const boost::json::object& aCall)
+{
+  if (NumberIn(aCall, "term") != mTerm || TextIn(aCall, "owner") != mOwner) {
+    return false;
+  }
+  if (!mLeads) {
+    mLeads = true;
+    mFollows.clear();
+    mLog.Append({ mTerm, {}, {}, {} });
+  }
+  return true;
+}
+
+bool
+fake_upstream::Follow(const boost::json::object& aCall)
+{
+  const term_number term = NumberIn(aCall, "term");
+  if (term < mTerm || (term == mTerm && mLeads)) {
+    return false;
+  }
+  if (term > mTerm) {
+    mTerm = term;
+    mOwner.clear();
+  }
+  mLeads = false;
+  mFetched.clear();
+  mFollows = TextIn(aCall, "leader");
+  mHeardAt = mLoop.Clock().Now();
+  return true;
+}
+
+http_response
+fake_upstream::Control(const std::string& aPath,
+                       const boost::json::object& aCall,
+                       const connection_state& aConnection)
+{
+  bool granted = false;
+  if (aPath == "/control/fence") {
+    granted = Fence(aCall);
+  } else if (aPath == "/control/promote") {
+    granted = Promote(aCall);
+  } else if (aPath == "/control/follow") {
+    granted = Follow(aCall);
+  }
+  NotifyChange();
+  boost::json::object answer = Report(aConnection);
+  answer["granted"] = granted;
+  return JsonResponse(200, answer);
+}
+
+void
+fake_upstream::Stamp(http_response& aResponse) const
+{
+  const log_position end = mLog.End();
+  SetHeader(aResponse, header::kTerm, std::to_string(mTerm));
+  SetHeader(aResponse, header::kLogTerm, std::to_string(end.mTerm));
+  SetHeader(aResponse, header::kLogIndex, std::to_string(end.mIndex));
+}
+
+http_response
+fake_upstream::Execute(const http_request& aRequest,
+                       connection_state& aConnection)
+{
+  mDirtyUses += aConnection.mDirty ? 1 : 0;
+  const slot_guard slot(*this);
+  if (mSettings.mServiceTime.count() > 0) {
+    mLoop.Sleep(mSettings.mServiceTime);
+  }
+  http_response response = RunStatements(aRequest, aConnection);
+  Stamp(response);
+  SetHeader(response,
+            header::kConnectionState,
+            aConnection.mDirty ? "dirty" : "clean");
+  if (mLoseAnswers > 0) {
+    --mLoseAnswers;
+    StaySilent(aConnection);
+  }
+  return response;
+}
+
+http_response
+fake_upstream::RunStatements(const http_request& aRequest,
+                             connection_state& aConnection)
+{
+  const boost::json::object body = ParseObject(aRequest.body());
+  const auto* statements = body.if_contains("statements");
+  if (statements == nullptr || !statements->is_array()) {
+    return MakeResponse(400, R"({"error":"statements must be a list"})");
+  }
+  const std::string key(HeaderOf(aRequest, header::kIdempotencyKey));
+  if (const auto index = mLog.FindKey(key); index && mLeads) {
+    return MakeResponse(200, mLog.Entries()[*index - 1].mAnswer);
+  }
+  fake_log_entry entry{ mTerm, {}, key, {} };
+  boost::json::array results;
+  for (const auto& item : statements->get_array()) {
+    if (!item.is_object()) {
+      return MakeResponse(400, R"({"error":"a statement is an object"})");
+    }
+    const boost::json::object& statement = item.get_object();
+    const std::string verb = TextIn(statement, "op");
+    if (verb == "put") {
+      entry.mPuts.emplace_back(TextIn(statement, "key"),
+                               TextIn(statement, "value"));
+      results.emplace_back("ok");
+    } else if (verb == "get") {
+      const auto value = mLog.Value(TextIn(statement, "key"));
+      results.push_back(value ? boost::json::value(*value)
+                              : boost::json::value(nullptr));
+    } else if (verb == "list") {
+      results.emplace_back(mLog.List(TextIn(statement, "prefix")));
+    } else if (verb == "set") {
+      aConnection.mDirty = true;
+      results.emplace_back("ok");
+    } else {
+      return MakeResponse(400, R"({"error":"unknown op"})");
+    }
+  }
+  const std::string answer =
+    boost::json::serialize(boost::json::object{ { "results", results } });
+  if (!entry.mPuts.empty()) {
+    if (!mLeads) {
+      return MakeResponse(421, R"({"error":"not the primary"})");
+    }
+    ++mExecutions;
+    entry.mAnswer = answer;
+    mLog.Append(std::move(entry));
+    NotifyChange();
+  }
+  return MakeResponse(200, answer);
+}
+
+http_response
+fake_upstream::Outcome(const std::string& aKey) const
+{
+  const auto index = mLog.FindKey(aKey);
+  http_response response = MakeResponse(
+    index ? 200 : 404, index ? mLog.Entries()[*index - 1].mAnswer : "{}");
+  SetHeader(response, header::kTerm, std::to_string(mTerm));
+  const std::uint64_t place = index.value_or(mLog.End().mIndex);
+  SetHeader(
+    response, header::kLogTerm, std::to_string(mLog.TermAt(place)));
+  SetHeader(response, header::kLogIndex, std::to_string(place));
+  return response;
+}
+
+http_response
+fake_upstream::Replicate(const boost::json::object& aCall)
+{
+  const std::uint64_t after = NumberIn(aCall, "after");
+  const time_point end = mLoop.Clock().Now() + kPullWait;
+  while (mLeads && !mIsolated && mLog.End().mIndex <= after &&
+         mLoop.Clock().Now() < end) {
+    WaitForChange(end);
+  }
+  if (mIsolated) {
+    mLoop.Sleep(kSilence);
+  }
+  if (!mLeads || NumberIn(aCall, "term") != mTerm) {
+    return JsonResponse(409, {});
+  }
+  const bool conflict = after > mLog.End().mIndex ||
+                        mLog.TermAt(after) != NumberIn(aCall, "after_term");
+  boost::json::array entries;
+  for (std::size_t i = after; !conflict && i < mLog.Entries().size() &&
+                              entries.size() < kPullBatch;
+       ++i) {
+    entries.push_back(EntryToJson(mLog.Entries()[i]));
+  }
+  return JsonResponse(
+    200, { { "term", mTerm }, { "conflict", conflict }, { "entries", entries } });
+}
+
+void
+fake_upstream::Pull()
+{
+  http_connection_out connection(mLoop);
+  while (true) {
+    if (!mLeads && !mFollows.empty() && !mIsolated) {
+      PullOnce(connection);
+    } else {
+      connection.Close();
+      mLoop.Sleep(kPullPause);
+    }
+  }
+}
+
+void
+fake_upstream::PullOnce(http_connection_out& aConnection)
+{
+  const std::string leader = mFollows;
+  const term_number term = mTerm;
+  if (!aConnection.IsOpen() &&
+      !aConnection.Connect(mSettings.mPeers[leader], kPullTimeout)) {
+    mLoop.Sleep(kPullPause);
+    return;
+  }
+  const log_position end = FetchedEnd();
+  http_request request = MakeRequest(
+    http::verb::post,
+    "/replicate",
+    boost::json::serialize(boost::json::object{ { "term", term },
+                                                { "after", end.mIndex },
+                                                { "after_term", end.mTerm } }));
+  SetHeader(request, header::kClient, kReplication);
+  const exchange_result outcome = aConnection.Exchange(request, kPullTimeout);
+  if (!outcome.IsOk() || outcome.mResponse.result_int() != 200) {
+    aConnection.Close();
+    mLoop.Sleep(kPullPause);
+    return;
+  }
+  mHeardAt = mLoop.Clock().Now();
+  const boost::json::object answer = ParseObject(outcome.mResponse.body());
+  // The instance may have been fenced or told to follow another meanwhile.
+  if (mTerm != term || mFollows != leader || mIsolated) {
+    aConnection.Close();
+    return;
+  }
+  if (FlagIn(answer, "conflict")) {
+    mFetched.clear();
+    mLog.Truncate(end.mIndex - 1);
+    return;
+  }
+  for (const auto& entry : answer.at("entries").as_array()) {
+    mFetched.push_back({ EntryFromJson(entry.as_object()),
+                         mLoop.Clock().Now() + mSettings.mLag });
+  }
+  if (mSettings.mLag.count() > 0 && !mFetched.empty()) {
+    mLoop.Spawn([this, lag = mSettings.mLag] {
+      mLoop.Sleep(lag);
+      ApplyFetched();
+    });
+  }
+  ApplyFetched();
+}
+
+log_position
+fake_upstream::FetchedEnd() const
+{
+  if (mFetched.empty()) {
+    return mLog.End();
+  }
+  return { mFetched.back().mEntry.mTerm,
+           mLog.End().mIndex + mFetched.size() };
+}
+
+void
+fake_upstream::ApplyFetched()
+{
+  const time_point now = mLoop.Clock().Now();
+  while (!mFetched.empty() && mFetched.front().mVisibleAt <= now) {
+    mLog.Append(std::move(mFetched.front().mEntry));
+    mFetched.pop_front();
+  }
+  NotifyChange();
+}
+
+http_response
+fake_upstream::Admin(const boost::json::object& aCall)
+{
+  if (aCall.contains("isolate")) {
+    mIsolated = FlagIn(aCall, "isolate");
+  }
+  mSettings.mLag = milliseconds(NumberIn(
+    aCall, "lag_ms", static_cast<std::uint64_t>(mSettings.mLag.count())));
+  mSettings.mServiceTime = std::chrono::microseconds(
+    NumberIn(aCall,
+             "service_us",
+             static_cast<std::uint64_t>(mSettings.mServiceTime.count())));
+  mLoseAnswers = NumberIn(aCall, "lose_answers", mLoseAnswers);
+  mFailResets = NumberIn(aCall, "fail_resets", mFailResets);
+  if (FlagIn(aCall, "silence")) {
+    for (auto& [number, state] : mConnections) {
+      state.mSilent = IsProxy(state.mClient);
+    }
+  }
+  return JsonResponse(200,
+                      { { "refused_connections", mRefusedConnections },
+                        { "peak_connections", mPeakConnections },
+                        { "connections", CountConnections({}) },
+                        { "dirty_uses", mDirtyUses },
+                        { "executions", mExecutions },
+                        { "term", mTerm },
+                        { "leads", mLeads },
+                        { "busy_slots", mBusySlots },
+                        { "log_index", mLog.End().mIndex } });
+}
+
+http_response
+fake_upstream::AdminLog() const
+{
+  boost::json::array entries;
+  for (const fake_log_entry& entry : mLog.Entries()) {
+    entries.emplace_back(EntryToJson(entry));
+  }
+  return JsonResponse(200, { { "entries", entries } });
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/StandIns/clFakeUpstream.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "clEventLoop.h"
+#include "clFakeLog.h"
+#include "clHttpClient.h"
+#include "clHttpServer.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace catkinloom {
+
+struct fake_target;
+
+/// What a stand-in instance is like.
+struct fake_upstream_settings
+{
+  std::string mName;
+  /// Name to address of every instance of the group.
+  std::map<std::string, std::string> mPeers;
+  std::uint32_t mSlots = 3;
+  std::uint32_t mConnections = 20;
+  milliseconds mConnectionCost{ 10 };
+  std::chrono::microseconds mServiceTime{ 2000 };
+  milliseconds mLag{ 0 };
+};
+
+/// Stand-in for one instance of a database group.
+///
+/// Calls: GET /status, POST /control/{fence,promote,follow}, POST /execute,
+/// GET /outcome?key=K, POST /reset, POST /kill?connection=C, POST /replicate.
+///   Faults and figures are
+/// reached by POST /admin and GET /admin/log.
+class fake_upstream
+{
+public:
+  fake_upstream(event_loop& aLoop, fake_upstream_settings aSettings);
+
+  result<void> Listen(const std::string& aAddress);
+
+private:
+  struct connection_state
+  {
+    std::string mClient;
+    bool mSilent = false;
+    bool mDirty = false;
+    /// Another connection asked for its end.
+    bool mKilled = false;
+  };
+
+  /// An entry that came from the primary and is not visible yet.
+  struct fetched_entry
+  {
+    fake_log_entry mEntry;
+    time_point mVisibleAt;
+  };
+
+  /// Gives its slot back when it goes out of scope.
+  class slot_guard;
+
+  http_response Handle(http_request& aRequest, const http_peer& aPeer);
+  http_response Dispatch(const http_request& aRequest,
+                         const fake_target& aTarget,
+                         connection_state& aConnection);
+  void StaySilent(const connection_state& aConnection);
+  void OnClosed(const http_peer& aPeer);
+  bool Admit(connection_state& aConnection, const std::string& aClient);
+
+  http_response Status(const fake_target& aTarget,
+                       const connection_state& aConnection);
+  http_response Control(const std::string& aPath,
+                        const boost::json::object& aCall,
+                        const connection_state& aConnection);
+  bool Fence(const boost::json::object& aCall);
+  bool Promote(const boost::json::object& aCall);
+  bool Follow(const boost::json::object& aCall);
+  http_response Execute(const http_request& aRequest,
+                        connection_state& aConnection);
+  http_response RunStatements(const http_request& aRequest,
+                              connection_state& aConnection);
+  http_response Outcome(const std::string& aKey) const;
+  http_response Replicate(const boost::json::object& aCall);
+  http_response Admin(const boost::json::object& aCall);
+  http_response AdminLog() const;
+
+  boost::json::object Report(const connection_state& aConnection) const;
+  void Stamp(http_response& aResponse) const;
+  void WaitForChange(time_point aEnd);
+  void NotifyChange();
+  log_position FetchedEnd() const;
+  void ApplyFetched();
+  void Pull();
+  void PullOnce(http_connection_out& aConnection);
+  std::uint32_t CountConnections(const std::string& aClient) const;
+
+  event_loop& mLoop;
+  fake_upstream_settings mSettings;
+  http_server mServer;
+  fake_log mLog;
+  std::map<std::uint64_t, connection_state> mConnections;
+  std::deque<std::shared_ptr<fiber_wait>> mSlotQueue;
+  std::vector<std::shared_ptr<fiber_wait>> mChangeWaiters;
+  std::deque<fetched_entry> mFetched;
+  std::uint32_t mBusySlots = 0;
+
+  term_number mTerm = 0;
+  std::string mOwner;
+  std::string mFollows;
+  bool mLeads = false;
+  time_point mHeardAt;
+
+  bool mIsolated = false;
+  std::uint64_t mLoseAnswers = 0;
+  std::uint64_t mFailResets = 0;
+  std::uint64_t mRefusedConnections = 0;
+  std::uint64_t mDirtyUses = 0;
+  std::uint64_t mExecutions = 0;
+  std::uint32_t mPeakConnections = 0;
+};
+
+} // namespace catkinloom
