--- /dev/null
+++ b/Source/Daemon/clDaemonMetrics.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <memory>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <string>
+
+namespace catkinloom {
+
+/// The daemon's figures, as /metrics shows them.
+class daemon_metrics
+{
+public:
+  daemon_metrics();
+
+  /// All figures in the text format of Prometheus.
+  std::string Text() const;
+
+private:
+  // Declared before the references below, which point into it.
+  std::shared_ptr<prometheus::Registry> mRegistry;
+
+public:
+  prometheus::Counter& mRequestsDone;
+  prometheus::Counter& mRequestsNotRun;
+  prometheus::Counter& mRequestsUnknown;
+  prometheus::Counter& mReadsByReplica;
+  prometheus::Counter& mReadsByPrimary;
+  prometheus::Counter& mRetries;
+  prometheus::Counter& mOutcomesResolved;
+  prometheus::Counter& mConnectionsOpened;
+  prometheus::Counter& mConnectionsReused;
+  prometheus::Counter& mConnectionsBroken;
+  prometheus::Counter& mResets;
+  prometheus::Counter& mQueueDropped;
+  prometheus::Counter& mPromotions;
+  prometheus::Counter& mPlatformCalls;
+  prometheus::Counter& mPlatformFailures;
+  prometheus::Counter& mPeerMessages;
+  prometheus::Counter& mForwarded;
+  prometheus::Counter& mControlBytes;
+  prometheus::Gauge& mManifestVersion;
+  prometheus::Gauge& mCallerConnections;
+  prometheus::Histogram& mRequestSeconds;
+};
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Daemon/clManifestKeeper.cxx
@@ -0,0 +1,248 @@
+#include "clManifestKeeper.h"
+
+#include "clLog.h"
+#include "clManifestReader.h"
+
+#include <algorithm>
+#include <random>
+
+namespace catkinloom {
+
+namespace {
+
+const std::string kHeadKey = "catkinloom/manifest/head";
+const std::string kBucketPrefix = "catkinloom/manifest/bucket/";
+
+/// One waiting watch lasts this long.
+constexpr milliseconds kWatchWait{ 10000 };
+
+constexpr milliseconds kFirstBackOff{ 200 };
+constexpr milliseconds kMostBackOff{ 5000 };
+
+/// Reads of the head after a compare-and-swap without an answer.
+constexpr int kResolveTries = 5;
+
+/// A delay between half and the whole, so that daemons do not call in step.
+milliseconds
+Jittered(milliseconds aDelay)
+{
+  static thread_local std::minstd_rand sRandom(std::random_device{}());
+  std::uniform_int_distribution<std::int64_t> pick(aDelay.count() / 2,
+                                                   aDelay.count());
+  return milliseconds(pick(sRandom));
+}
+
+} // namespace
+
+void
+manifest_keeper::Run()
+{
+  milliseconds backOff = kFirstBackOff;
+  while (true) {
+    const auto watched = WatchOnce();
+    if (watched) {
+      backOff = kFirstBackOff;
+      continue;
+    }
+    Log(log_level::Warning,
+        "manifest",
+        "Platform gave no manifest. Traffic goes on. cause={}",
+        watched.error().mDetail);
+    mState.mLoop.Sleep(Jittered(backOff));
+    backOff = std::min(backOff * 2, kMostBackOff);
+  }
+}
+
+result<void>
+manifest_keeper::WatchOnce()
+{
+  BOOST_OUTCOME_TRY(const std::optional<platform_value> value,
+                    mPlatform.Watch(kHeadKey, mRevision, kWatchWait));
+  if (!value) {
+    return boost::outcome_v2::success();
+  }
+  BOOST_OUTCOME_TRY(const manifest_head head, DecodeHead(value->mText));
+  BOOST_OUTCOME_TRY(TakeHead(head));
+  mRevision = std::max(mRevision, value->mRevision);
+  return boost::outcome_v2::success();
+}
+
+result<void>
+manifest_keeper::TakeHead(const manifest_head& aHead)
+{
+  if (aHead.mVersion <= mHead.mVersion) {
+    return boost::outcome_v2::success();
+  }
+  bucket_texts texts;
+  for (const auto& [bucket, digest] : aHead.mBuckets) {
+    const auto held = mHead.mBuckets.find(bucket);
+    if (held != mHead.mBuckets.end() && held->second == digest) {
+      texts[bucket] = mTexts[bucket];
+      continue;
+    }
+    BOOST_OUTCOME_TRY(platform_value part,
+                      mPlatform.Get(kBucketPrefix + digest));
+    texts[bucket] = std::move(part.mText);
+  }
+  return PutInForce(aHead, std::move(texts));
+}
+
+result<void>
+manifest_keeper::PutInForce(const manifest_head& aHead, bucket_texts aTexts)
+{
+  if (DigestsOf(aTexts) != aHead.mBuckets) {
+    return error{ error_kind::BadManifest,
+                  "A part of the manifest does not match its digest." };
+  }
+  BOOST_OUTCOME_TRY(manifest declared, DecodeManifest(aTexts));
+  // The reads above may have waited while a newer version came another way.
+  if (aHead.mVersion <= mHead.mVersion) {
+    return boost::outcome_v2::success();
+  }
+  mHead = aHead;
+  mTexts = std::move(aTexts);
+  mState.mManifest = std::move(declared);
+  mState.mManifestVersion = aHead.mVersion;
+  mState.mMetrics.mManifestVersion.Set(static_cast<double>(aHead.mVersion));
+  Log(log_level::Info,
+      "manifest",
+      "Manifest in force. version={} groups={} proxies={}",
+      aHead.mVersion,
+      mState.mManifest.mGroups.size(),
+      mState.mManifest.mProxies.size());
+  mOnChanged();
+  return boost::outcome_v2::success();
+}
+
+result<void>
+manifest_keeper::WriteBuckets(const bucket_texts& aTexts)
+{
+  for (const auto& [bucket, text] : aTexts) {
+    const std::string digest = DigestOf(text);
+    const auto held = mHead.mBuckets.find(bucket);
+    if (held != mHead.mBuckets.end() && held->second == digest) {
+      continue;
+    }
+    // A part is named by its content: that it is there already is as good.
+    BOOST_OUTCOME_TRY(
+      mPlatform.CompareAndSwap(kBucketPrefix + digest, 0, text));
+  }
+  return boost::outcome_v2::success();
+}
+
+result<std::uint64_t>
+manifest_keeper::Submit(const manifest& aManifest,
+                        std::optional<std::uint64_t> aExpected)
+{
+  BOOST_OUTCOME_TRY(const platform_value current, mPlatform.Get(kHeadKey));
+  manifest_head head;
+  if (current.mRevision != 0) {
+    BOOST_OUTCOME_TRY(head, DecodeHead(current.mText));
+    BOOST_OUTCOME_TRY(TakeHead(head));
+  }
+  if (aExpected && *aExpected != head.mVersion) {
+    return error{ error_kind::ManifestConflict,
+                  fmt::format("Version {} is in force, not {}. Look at it, "
+                              "then submit against it.",
+                              head.mVersion,
+                              *aExpected) };
+  }
+  BOOST_OUTCOME_TRY(CheckManifestStep(mState.mManifest, aManifest));
+  const bucket_texts texts = EncodeManifest(aManifest);
+  BOOST_OUTCOME_TRY(WriteBuckets(texts));
+  manifest_head next;
+  next.mVersion = head.mVersion + 1;
+  next.mSubmission = fmt::format("{}/{}", mState.mIdentity, ++mSubmissions);
+  next.mBuckets = DigestsOf(texts);
+  const auto swapped =
+    mPlatform.CompareAndSwap(kHeadKey, current.mRevision, EncodeHead(next));
+  if (!swapped) {
+    return ResolveLostSwap(next);
+  }
+  if (swapped.value() == swap_outcome::Conflict) {
+    return error{ error_kind::ManifestConflict,
+                  "Another operator's manifest was accepted first. Look at "
+                  "it, then submit again." };
+  }
+  BOOST_OUTCOME_TRY(PutInForce(next, texts));
+  return next.mVersion;
+}
+
+result<std::uint64_t>
+manifest_keeper::ResolveLostSwap(const manifest_head& aWanted)
+{
+  for (int i = 0; i < kResolveTries; ++i) {
+    const auto value = mPlatform.Get(kHeadKey);
+    if (!value) {
+      mState.mLoop.Sleep(Jittered(kFirstBackOff));
+      continue;
+    }
+    if (value.value().mRevision == 0) {
+      break;
+    }
+    BOOST_OUTCOME_TRY(const manifest_head head,
+                      DecodeHead(value.value().mText));
+    BOOST_OUTCOME_TRY(TakeHead(head));
+    if (head.mSubmission == aWanted.mSubmission) {
+      return head.mVersion;
+    }
+    if (head.mVersion >= aWanted.mVersion) {
+      return error{ error_kind::ManifestConflict,
+                    fmt::format("Version {} is in force and is not this one.",
+                                head.mVersion) };
+    }
+    // The old head is still there: the swap may yet arrive.
+    mState.mLoop.Sleep(Jittered(kFirstBackOff));
+  }
+  return error{ error_kind::PlatformUnavailable,
+                "The platform did not answer, and the manifest may still be "
+                "accepted. Ask `manifest status` before you submit again." };
+}
+
+peer_manifest_change
+manifest_keeper::ChangeSince(const std::vector<std::string>& aDigests) const
+{
+  peer_manifest_change change;
+  if (mHead.mVersion == 0) {
+    return change;
+  }
+  change.mHead = EncodeHead(mHead);
+  for (const auto& [bucket, digest] : mHead.mBuckets) {
+    if (std::find(aDigests.begin(), aDigests.end(), digest) == aDigests.end()) {
+      change.mBuckets[bucket] = mTexts.at(bucket);
+    }
+  }
+  return change;
+}
+
+std::vector<std::string>
+manifest_keeper::Digests() const
+{
+  std::vector<std::string> digests;
+  for (const auto& [bucket, digest] : mHead.mBuckets) {
+    digests.push_back(digest);
+  }
+  return digests;
+}
+
+result<void>
+manifest_keeper::Take(const peer_manifest_change& aChange)
+{
+  if (aChange.mHead.empty()) {
+    return boost::outcome_v2::success();
+  }
+  BOOST_OUTCOME_TRY(const manifest_head head, DecodeHead(aChange.mHead));
+  if (head.mVersion <= mHead.mVersion) {
+    return boost::outcome_v2::success();
+  }
+  bucket_texts texts = aChange.mBuckets;
+  for (const auto& [bucket, digest] : head.mBuckets) {
+    const auto held = mHead.mBuckets.find(bucket);
+    if (held != mHead.mBuckets.end() && held->second == digest) {
+      texts[bucket] = mTexts[bucket];
+    }
+  }
+  return PutInForce(head, std::move(texts));
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Daemon/clOperatorService.cxx
@@ -0,0 +1,282 @@
+#include "clOperatorService.h"
+
+#include "clCallerRequest.h"
+#include "clLog.h"
+#include "clManifestReader.h"
+#include "clReadService.h"
+
+#include <boost/json/serialize.hpp>
+#include <charconv>
+
+namespace catkinloom {
+
+namespace json = boost::json;
+
+namespace {
+
+http_response
+JsonAnswer(const json::value& aValue)
+{
+  return MakeResponse(200, json::serialize(aValue));
+}
+
+/// The value of a query parameter; empty when it is absent.
+std::string_view
+QueryOf(std::string_view aTarget, std::string_view aName)
+{
+  std::size_t start = aTarget.find('?');
+  while (start != std::string_view::npos) {
+    std::string_view pair = aTarget.substr(start + 1);
+    pair = pair.substr(0, pair.find('&'));
+    const std::size_t equals = pair.find('=');
+    if (equals != std::string_view::npos && pair.substr(0, equals) == aName) {
+      return pair.substr(equals + 1);
+    }
+    start = aTarget.find('&', start + 1);
+  }
+  return {};
+}
+
+std::string_view
+StateOf(const instance_row& aRow)
+{
+  if (aRow.mLeaving) {
+    return "leaving";
+  }
+  if (aRow.mFailingSince) {
+    return "failing";
+  }
+  return aRow.mReport ? "answering" : "unknown";
+}
+
+json::object
+InstanceToJson(const instance_row& aRow, const upstream_link* aLink)
+{
+  const instance_report report = aRow.mReport.value_or(instance_report{});
+  json::object row{
+    { "name", aRow.mDeclared.mName },
+    { "zone", aRow.mDeclared.mZone },
+    { "state", StateOf(aRow) },
+    { "leads", report.mLeads },
+    { "term", report.mTerm },
+    { "log_term", report.mLog.mTerm },
+    { "log_index", report.mLog.mIndex },
+    { "silence_ms", report.mPrimarySilence.count() },
+    { "connections", report.mConnections },
+    { "in_flight", aRow.mInFlight },
+    { "answer_us",
+      std::chrono::duration_cast<std::chrono::microseconds>(aRow.mAnswerTime)
+        .count() },
+  };
+  if (aLink != nullptr) {
+    row["open"] = aLink->mPool->Open();
+    row["share"] = aLink->mPool->Share();
+    row["lingering"] = aLink->mPool->Lingering();
+    row["waiting"] = aLink->mPool->Waiting();
+  }
+  return row;
+}
+
+std::string_view
+ActionName(route_action aAction)
+{
+  switch (aAction) {
+    case route_action::UseReplica:
+      return "replica";
+    case route_action::UsePrimary:
+      return "primary";
+    case route_action::Wait:
+      return "wait";
+    case route_action::SessionAhead:
+      return "refuse";
+  }
+  return "wait";
+}
+
+} // namespace
+
+operator_service::operator_service(proxy_state& aState,
+                                   manifest_keeper& aManifest,
+                                   peer_keeper& aPeers,
+                                   upstream_directory& aDirectory,
+                                   drain_handler aDrain)
+  : mState(aState)
+  , mManifest(aManifest)
+  , mPeers(aPeers)
+  , mDirectory(aDirectory)
+  , mDrain(std::move(aDrain))
+{
+}
+
+const std::vector<operator_service::operator_route>&
+operator_service::Routes()
+{
+  static const std::vector<operator_route> kRoutes{
+    { http::verb::get, "/health", &operator_service::Health },
+    { http::verb::get, "/metrics", &operator_service::Metrics },
+    { http::verb::get, "/status", &operator_service::Status },
+    { http::verb::get, "/groups", &operator_service::Groups },
+    { http::verb::get, "/explain", &operator_service::Explain },
+    { http::verb::post, "/manifest", &operator_service::SubmitManifest },
+    { http::verb::post, "/drain", &operator_service::Drain },
+  };
+  return kRoutes;
+}
+
+http_response
+operator_service::Handle(http_request& aRequest)
+{
+  const std::string_view target(aRequest.target().data(),
+                                aRequest.target().size());
+  const std::string_view path = target.substr(0, target.find('?'));
+  for (const operator_route& route : Routes()) {
+    if (route.mPath == path && route.mVerb == aRequest.method()) {
+      return (this->*route.mServe)(aRequest);
+    }
+  }
+  http_response response = EncodeRefusal(
+    { error_kind::BadRequest, "No such path or method on this port." });
+  response.result(http::status::not_found);
+  return response;
+}
+
+http_response
+operator_service::Health(http_request&)
+{
+  if (mState.mDraining) {
+    return MakeResponse(503, R"({"health":"draining"})");
+  }
+  if (mState.mManifestVersion == 0) {
+    return MakeResponse(503, R"({"health":"no manifest"})");
+  }
+  return MakeResponse(200, R"({"health":"ok"})");
+}
+
+http_response
+operator_service::Metrics(http_request&)
+{
+  http_response response = MakeResponse(200, mState.mMetrics.Text());
+  response.set(http::field::content_type, "text/plain; version=0.0.4");
+  return response;
+}
+
+http_response
+operator_service::Status(http_request&)
+{
+  json::array peers;
+  const time_point now = mState.Now();
+  for (const peer_row& row : mPeers.Peers().Rows()) {
+    peers.push_back({ { "name", row.mDeclared.mName },
+                      { "zone", row.mDeclared.mZone },
+                      { "live", mPeers.Peers().IsLive(row, now) },
+                      { "draining", row.mDraining },
+                      { "manifest_version", row.mManifestVersion } });
+  }
+  return JsonAnswer(
+    json::object{ { "name", mState.mSettings.mName },
+                  { "zone", mState.mSettings.mZone },
+                  { "identity", mState.mIdentity },
+                  { "draining", mState.mDraining },
+                  { "manifest_version", mState.mManifestVersion },
+                  { "groups", mState.mManifest.mGroups.size() },
+                  { "peers", peers } });
+}
+
+http_response
+operator_service::Groups(http_request&)
+{
+  json::array groups;
+  for (group_row_number number = 0; number < mState.mGroups.Size(); ++number) {
+    const group_row& group = mState.mGroups.Group(number);
+    if (group.mRetired) {
+      continue;
+    }
+    json::array instances;
+    for (instance_number i = 0; i < group.mInstances.size(); ++i) {
+      instances.push_back(
+        InstanceToJson(group.mInstances[i], mDirectory.Find(number, i)));
+    }
+    const auto primary = PrimaryOf(group);
+    groups.push_back(
+      { { "name", group.mName },
+        { "acknowledge", PolicyName(group.mAcknowledge) },
+        { "term", HighestTerm(group) },
+        { "primary",
+          primary ? group.mInstances[*primary].mDeclared.mName : "" },
+        { "promoting", mState.mPromotion.IsPromoting(number) },
+        { "instances", instances } });
+  }
+  return JsonAnswer(groups);
+}
+
+http_response
+operator_service::Explain(http_request& aRequest)
+{
+  const std::string_view target(aRequest.target().data(),
+                                aRequest.target().size());
+  http_request probe = MakeRequest(http::verb::post,
+                                   fmt::format("/v1/{}/{}",
+                                               QueryOf(target, "group"),
+                                               QueryOf(target, "request")));
+  SetHeader(probe, header::kIdempotencyKey, "explain");
+  const std::string_view session = QueryOf(target, "session");
+  if (!session.empty()) {
+    SetHeader(probe, header::kSession, session);
+  }
+  const auto request = ReadCallerRequest(mState, probe);
+  if (!request) {
+    return EncodeRefusal(request.error());
+  }
+  const group_row& group = mState.mGroups.Group(request.value().mGroup);
+  const bool isRead = request.value().mDeclared.mKind == request_kind::Read;
+  const read_need need = read_service::NeedOf(request.value());
+  const route_decision decision =
+    isRead ? mState.mRouter.DecideRead(group, need, mState.Now())
+           : mState.mRouter.DecideWrite(group, mState.Now());
+  const bool placed = decision.mAction != route_action::Wait;
+  return JsonAnswer(json::object{
+    { "group", group.mName },
+    { "request", request.value().mDeclared.mName },
+    { "kind", KindName(request.value().mDeclared.mKind) },
+    { "action", ActionName(decision.mAction) },
+    { "reason", ReasonName(decision.mReason) },
+    { "instance",
+      placed ? group.mInstances[decision.mInstance].mDeclared.mName : "" },
+    { "term", decision.mTerm },
+    { "must_confirm", decision.mMustConfirm } });
+}
+
+http_response
+operator_service::SubmitManifest(http_request& aRequest)
+{
+  const auto declared = ReadManifest("manifest", aRequest.body());
+  if (!declared) {
+    return EncodeRefusal(declared.error());
+  }
+  std::optional<std::uint64_t> expected;
+  const std::string_view text =
+    QueryOf({ aRequest.target().data(), aRequest.target().size() }, "expect");
+  if (!text.empty()) {
+    std::uint64_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    expected = number;
+  }
+  const auto version = mManifest.Submit(declared.value(), expected);
+  if (!version) {
+    Log(log_level::Warning,
+        "manifest",
+        "Manifest not accepted. cause={}",
+        version.error().mDetail);
+    return EncodeRefusal(version.error());
+  }
+  return JsonAnswer(json::object{ { "version", version.value() } });
+}
+
+http_response
+operator_service::Drain(http_request&)
+{
+  mDrain();
+  return MakeResponse(200, R"({"draining":true})");
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Daemon/clOperatorService.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "clHttpServer.h"
+#include "clManifestKeeper.h"
+#include "clPeerKeeper.h"
+#include "clProxyState.h"
+#include "clUpstreamDirectory.h"
+
+#include <functional>
+
+namespace catkinloom {
+
+/// The operators' side: health, metrics, state, manifests, drain.
+class operator_service
+{
+public:
+  using drain_handler = std::function<void()>;
+
+  operator_service(proxy_state& aState,
+                   manifest_keeper& aManifest,
+                   peer_keeper& aPeers,
+                   upstream_directory& aDirectory,
+                   drain_handler aDrain);
+
+  http_response Handle(http_request& aRequest);
+
+private:
+  http_response Health(http_request& aRequest);
+  http_response Metrics(http_request& aRequest);
+  http_response Status(http_request& aRequest);
+  http_response Groups(http_request& aRequest);
+  http_response Explain(http_request& aRequest);
+  http_response SubmitManifest(http_request& aRequest);
+  http_response Drain(http_request& aRequest);
+
+  /// One path of the operators' side and what serves it.
+  struct operator_route
+  {
+    http::verb mVerb;
+    std::string_view mPath;
+    http_response (operator_service::*mServe)(http_request&);
+  };
+  static const std::vector<operator_route>& Routes();
+
+  proxy_state& mState;
+  manifest_keeper& mManifest;
+  peer_keeper& mPeers;
+  upstream_directory& mDirectory;
+  drain_handler mDrain;
+};
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Daemon/clPeerKeeper.cxx
@@ -0,0 +1,139 @@
+#include "clPeerKeeper.h"
+
+#include "clLog.h"
+
+namespace catkinloom {
+
+namespace {
+
+constexpr milliseconds kFetchTimeout{ 2000 };
+
+/// Bytes of one heartbeat and its answer on the wire.
+constexpr double kHeartbeatBytes = 320;
+
+} // namespace
+
+peer_keeper::peer_keeper(proxy_state& aState, manifest_keeper& aManifest)
+  : mState(aState)
+  , mManifest(aManifest)
+  , mPeers(aState.mSettings.mName, aState.mSettings.mTiming.mPeerTimeout)
+  , mNetwork(aState.mLoop, *this)
+{
+  mPeers.AddSeeds(aState.mSettings.mPeers);
+}
+
+result<void>
+peer_keeper::Listen(const std::string& aAddress)
+{
+  return mNetwork.Listen(aAddress);
+}
+
+void
+peer_keeper::Run()
+{
+  while (true) {
+    BeatAll();
+    mState.mLoop.Sleep(mState.mSettings.mTiming.mHeartbeat);
+  }
+}
+
+void
+peer_keeper::OnManifestChanged()
+{
+  mPeers.Apply(mState.mManifest.mProxies);
+  BeatAll();
+}
+
+void
+peer_keeper::BeatAll()
+{
+  for (const peer_row& row : mPeers.Rows()) {
+    mState.mLoop.Spawn(
+      [this, address = row.mDeclared.mPeerAddress] { BeatOne(address); });
+  }
+}
+
+peer_heartbeat
+peer_keeper::Own() const
+{
+  peer_heartbeat own;
+  own.mSender = mState.mSettings.mName;
+  own.mIdentity = mState.mIdentity;
+  own.mManifestVersion = mState.mManifestVersion;
+  own.mDraining = mState.mDraining;
+  return own;
+}
+
+void
+peer_keeper::BeatOne(const std::string& aAddress)
+{
+  mState.mMetrics.mPeerMessages.Increment();
+  mState.mMetrics.mControlBytes.Increment(kHeartbeatBytes);
+  const auto answer =
+    mNetwork.Beat(aAddress, Own(), mState.mSettings.mTiming.mPeerTimeout / 2);
+  if (answer) {
+    Hear(answer.value(), aAddress);
+  }
+}
+
+void
+peer_keeper::Hear(const peer_heartbeat& aHeartbeat, const std::string& aAddress)
+{
+  mPeers.Hear(aHeartbeat.mSender,
+              aHeartbeat.mManifestVersion,
+              aHeartbeat.mDraining,
+              mState.Now());
+  if (aHeartbeat.mManifestVersion <= mState.mManifestVersion ||
+      aAddress.empty()) {
+    return;
+  }
+  const auto change =
+    mNetwork.FetchManifest(aAddress, mManifest.Digests(), kFetchTimeout);
+  if (!change) {
+    return;
+  }
+  const auto taken = mManifest.Take(change.value());
+  if (!taken) {
+    Log(log_level::Warning,
+        "manifest",
+        "Peer's manifest refused. peer={} cause={}",
+        aHeartbeat.mSender,
+        taken.error().mDetail);
+  }
+}
+
+std::string
+peer_keeper::AddressOf(const std::string& aName) const
+{
+  for (const peer_row& row : mPeers.Rows()) {
+    if (row.mDeclared.mName == aName) {
+      return row.mDeclared.mPeerAddress;
+    }
+  }
+  return {};
+}
+
+peer_heartbeat
+peer_keeper::OnBeat(const peer_heartbeat& aHeartbeat)
+{
+  // The answer must not wait for a fetch from the one who asks.
+  mState.mLoop.Spawn(
+    [this, aHeartbeat, address = AddressOf(aHeartbeat.mSender)] {
+      Hear(aHeartbeat, address);
+    });
+  return Own();
+}
+
+peer_manifest_change
+peer_keeper::OnFetchManifest(const std::vector<std::string>& aDigests)
+{
+  return mManifest.ChangeSince(aDigests);
+}
+
+peer_answer
+peer_keeper::OnForward(const peer_request& aRequest)
+{
+  return mForward(aRequest);
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Daemon/clPeerKeeper.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "clManifestKeeper.h"
+#include "clPeerNetwork.h"
+#include "clPeerTable.h"
+#include "clProxyState.h"
+
+#include <functional>
+
+namespace catkinloom {
+
+/// Exchanges heartbeats with the other proxies, and fetches a manifest that
+/// a peer has and this proxy has not.
+class peer_keeper : public peer_handler
+{
+public:
+  using forward_handler = std::function<peer_answer(const peer_request&)>;
+
+  peer_keeper(proxy_state& aState, manifest_keeper& aManifest);
+
+  void SetForwardHandler(forward_handler aForward)
+  {
+    mForward = std::move(aForward);
+  }
+
+  /// Errors: BadSettings.
+  result<void> Listen(const std::string& aAddress);
+
+  /// Sends heartbeats until the daemon stops; runs in a fiber.
+  void Run();
+
+  /// Takes over the manifest's proxies, and tells them at once.
+  void OnManifestChanged();
+
+  peer_table& Peers() { return mPeers; }
+  peer_network& Network() { return mNetwork; }
+
+  peer_heartbeat OnBeat(const peer_heartbeat& aHeartbeat) override;
+  peer_manifest_change OnFetchManifest(
+    const std::vector<std::string>& aDigests) override;
+  peer_answer OnForward(const peer_request& aRequest) override;
+
+private:
+  peer_heartbeat Own() const;
+  void BeatAll();
+  void BeatOne(const std::string& aAddress);
+  void Hear(const peer_heartbeat& aHeartbeat, const std::string& aAddress);
+  std::string AddressOf(const std::string& aName) const;
+
+  proxy_state& mState;
+  manifest_keeper& mManifest;
+  forward_handler mForward;
+  peer_table mPeers;
+  peer_network mNetwork;
+};
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Daemon/clReadService.cxx
@@ -0,0 +1,204 @@
+#include "clReadService.h"
+
+#include "clLog.h"
+#include "clUpstreamMessages.h"
+
+namespace catkinloom {
+
+namespace {
+
+/// Longest wait for news before a decision is made anew.
+constexpr milliseconds kDecisionWait{ 50 };
+
+caller_failure
+NoInstance(const std::string& aGroup, route_reason aReason)
+{
+  return { { error_kind::NoCurrentPrimary,
+             "No instance of " + aGroup + " could serve the read in time: " +
+               std::string(ReasonName(aReason)) + "." },
+           request_outcome::NotRun };
+}
+
+caller_failure
+SessionAhead(log_position aFloor)
+{
+  return { { error_kind::SessionAhead,
+             "The session token names position " +
+               std::to_string(aFloor.mTerm) + "." +
+               std::to_string(aFloor.mIndex) +
+               ", which the group has not reached. Send 'new' to start a "
+               "session." },
+           request_outcome::NotRun };
+}
+
+} // namespace
+
+read_need
+read_service::NeedOf(const caller_request& aRequest)
+{
+  read_need need;
+  need.mFloor = aRequest.mSession.Floor(aRequest.mGroupName);
+  if (aRequest.mHasSession) {
+    need.mMaxAge = aRequest.mDeclared.mMaxAge;
+  }
+  return need;
+}
+
+caller_result
+read_service::Serve(caller_request& aRequest)
+{
+  read_attempt attempt;
+  attempt.mNeed = NeedOf(aRequest);
+  attempt.mFailure =
+    NoInstance(aRequest.mGroupName, route_reason::PrimaryUnknown);
+  while (mState.Now() < aRequest.mDeadline) {
+    switch (Try(aRequest, attempt)) {
+      case attempt_end::Served:
+        return std::move(attempt.mAnswer);
+      case attempt_end::GiveUp:
+        return std::move(attempt.mFailure);
+      case attempt_end::TryAgain:
+        break;
+    }
+  }
+  return std::move(attempt.mFailure);
+}
+
+void
+read_service::Wait(const caller_request& aRequest)
+{
+  mState.SignalOf(aRequest.mGroup)
+    .WaitUntil(std::min(aRequest.mDeadline, mState.Now() + kDecisionWait));
+}
+
+bool
+read_service::MayRetry()
+{
+  if (!mState.mRetryBudget.TryRetry()) {
+    return false;
+  }
+  mState.mMetrics.mRetries.Increment();
+  return true;
+}
+
+read_service::attempt_end
+read_service::Try(const caller_request& aRequest, read_attempt& aAttempt)
+{
+  const group_row& group = mState.mGroups.Group(aRequest.mGroup);
+  const bool floorIsAhead =
+    aAttempt.mNeed.mFloor.mTerm > HighestTerm(group) &&
+    mState.Now() > aRequest.mArrivedAt + mState.mSettings.mTiming.mSessionWait;
+  if (floorIsAhead) {
+    aAttempt.mFailure = SessionAhead(aAttempt.mNeed.mFloor);
+    return attempt_end::GiveUp;
+  }
+  aAttempt.mDecision =
+    mState.mRouter.DecideRead(group, aAttempt.mNeed, mState.Now());
+  const route_decision& decision = aAttempt.mDecision;
+  upstream_link* link = mDirectory.Find(aRequest.mGroup, decision.mInstance);
+  const bool waits = decision.mAction == route_action::Wait ||
+                     aAttempt.mNeed.mFloor.mTerm > HighestTerm(group);
+  if (waits || link == nullptr) {
+    aAttempt.mFailure = NoInstance(aRequest.mGroupName, decision.mReason);
+    Wait(aRequest);
+    return attempt_end::TryAgain;
+  }
+  Log(log_level::Decision,
+      "route",
+      "Read placed. group={} request={} instance={} term={} reason={}",
+      aRequest.mGroupName,
+      aRequest.mDeclared.mName,
+      link->mInstance.mName,
+      decision.mTerm,
+      ReasonName(decision.mReason));
+  http_request request = EncodeExecute(aRequest);
+  const time_point deadline =
+    std::min(aRequest.mDeadline,
+             mState.Now() + mState.mSettings.mTiming.mAttemptTimeout);
+  upstream_answer answer = SendToUpstream(
+    mState, *link, aRequest.mGroup, aRequest.mCaller, request, deadline);
+  aAttempt.mAnswer.mInstance = link->mInstance.mName;
+  return Judge(aRequest, aAttempt, answer);
+}
+
+read_service::attempt_end
+read_service::Judge(const caller_request& aRequest,
+                    read_attempt& aAttempt,
+                    upstream_answer& aAnswer)
+{
+  if (aAnswer.mEnd == exchange_end::Refused) {
+    aAttempt.mFailure = { { error_kind::Overloaded, aAnswer.mDetail },
+                          request_outcome::NotRun };
+    return attempt_end::GiveUp;
+  }
+  if (aAnswer.mEnd != exchange_end::Answered) {
+    aAttempt.mFailure = { { error_kind::UpstreamUnreachable, aAnswer.mDetail },
+                          request_outcome::NotRun };
+    aAttempt.mNeed.mExcluded |= 1U << aAttempt.mDecision.mInstance;
+    if (aAnswer.mEnd == exchange_end::NotSent) {
+      Wait(aRequest);
+      return attempt_end::TryAgain;
+    }
+    return MayRetry() ? attempt_end::TryAgain : attempt_end::GiveUp;
+  }
+  const unsigned status = aAnswer.mResponse.result_int();
+  if (status == 503) {
+    Wait(aRequest);
+    return attempt_end::TryAgain;
+  }
+  if (status != 200) {
+    aAttempt.mFailure = { { error_kind::UpstreamRefused,
+                            aAnswer.mResponse.body() },
+                          request_outcome::NotRun };
+    return attempt_end::GiveUp;
+  }
+  aAttempt.mAnswer.mBody = std::move(aAnswer.mResponse.body());
+  return aAttempt.mDecision.mMustConfirm
+           ? JudgeCurrent(aRequest, aAttempt, aAnswer.mResponse)
+           : JudgeAge(aRequest, aAttempt, aAnswer.mResponse);
+}
+
+read_service::attempt_end
+read_service::JudgeAge(const caller_request& aRequest,
+                       read_attempt& aAttempt,
+                       const http_response& aResponse)
+{
+  // The position came with the data, so it tells more than the report on
+  // which the choice was made.
+  const log_position position = LogOfAnswer(aResponse);
+  const auto age = mState.mRouter.AgeOf(
+    mState.mGroups.Group(aRequest.mGroup), position, mState.Now());
+  const bool freshEnough = age && *age <= *aAttempt.mNeed.mMaxAge;
+  if (!freshEnough || position < aAttempt.mNeed.mFloor) {
+    aAttempt.mNeed.mExcluded |= 1U << aAttempt.mDecision.mInstance;
+    return attempt_end::TryAgain;
+  }
+  mState.mMetrics.mReadsByReplica.Increment();
+  return attempt_end::Served;
+}
+
+read_service::attempt_end
+read_service::JudgeCurrent(const caller_request& aRequest,
+                           read_attempt& aAttempt,
+                           const http_response& aResponse)
+{
+  const log_position position = LogOfAnswer(aResponse);
+  const bool sameTerm = TermOfAnswer(aResponse) == aAttempt.mDecision.mTerm &&
+                        mDirectory.AwaitTerm(aRequest.mGroup,
+                                             aAttempt.mDecision.mTerm,
+                                             aRequest.mArrivedAt,
+                                             aRequest.mDeadline);
+  if (!sameTerm) {
+    aAttempt.mFailure =
+      NoInstance(aRequest.mGroupName, route_reason::TermUnconfirmed);
+    return attempt_end::TryAgain;
+  }
+  if (position < aAttempt.mNeed.mFloor) {
+    aAttempt.mFailure = SessionAhead(aAttempt.mNeed.mFloor);
+    return attempt_end::GiveUp;
+  }
+  mState.mMetrics.mReadsByPrimary.Increment();
+  return attempt_end::Served;
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Daemon/clReadService.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "clCallerRequest.h"
+#include "clUpstreamDirectory.h"
+#include "clUpstreamExchange.h"
+
+namespace catkinloom {
+
+/// Serves reads: picks an instance, checks what came back, tries another one
+/// while the deadline and the retry budget allow.
+class read_service
+{
+public:
+  read_service(proxy_state& aState, upstream_directory& aDirectory)
+    : mState(aState)
+    , mDirectory(aDirectory)
+  {
+  }
+
+  caller_result Serve(caller_request& aRequest);
+
+  /// The need that a request stands for.
+  static read_need NeedOf(const caller_request& aRequest);
+
+private:
+  /// What becomes of one try.
+  enum class attempt_end
+  {
+    Served,
+    TryAgain,
+    GiveUp,
+  };
+
+  struct read_attempt
+  {
+    route_decision mDecision;
+    read_need mNeed;
+    caller_answer mAnswer;
+    caller_failure mFailure;
+  };
+
+  attempt_end Try(const caller_request& aRequest, read_attempt& aAttempt);
+  attempt_end Judge(const caller_request& aRequest,
+                    read_attempt& aAttempt,
+                    upstream_answer& aAnswer);
+  attempt_end JudgeAge(const caller_request& aRequest,
+                       read_attempt& aAttempt,
+                       const http_response& aResponse);
+  attempt_end JudgeCurrent(const caller_request& aRequest,
+                           read_attempt& aAttempt,
+                           const http_response& aResponse);
+  bool MayRetry();
+  void Wait(const caller_request& aRequest);
+
+  proxy_state& mState;
+  upstream_directory& mDirectory;
+};
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Daemon/clRequestService.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "clPeerKeeper.h"
+#include "clReadService.h"
+#include "clWriteService.h"
+
+namespace catkinloom {
+
+/// Takes callers' requests: serves those for groups placed here and hands
+/// the others to a proxy that serves their group.
+class request_service
+{
+public:
+  request_service(proxy_state& aState,
+                  upstream_directory& aDirectory,
+                  peer_keeper& aPeers);
+
+  http_response Handle(http_request& aRequest);
+
+  /// Serves a request that another proxy handed over.
+  peer_answer HandleForwarded(const peer_request& aRequest);
+
+private:
+  http_response Serve(http_request& aRequest);
+  http_response Forward(http_request& aRequest, const std::string& aGroup);
+  void CountOutcome(const http_response& aResponse, time_point aStart);
+
+  proxy_state& mState;
+  peer_keeper& mPeers;
+  read_service mReads;
+  write_service mWrites;
+};
+
+/// Name of the group in the target /v1/GROUP/REQUEST; empty when malformed.
+std::string_view
+GroupOfTarget(std::string_view aTarget);
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Daemon/clUpstreamControl.cxx
@@ -0,0 +1,264 @@
+#include "clUpstreamControl.h"
+
+#include "clLog.h"
+#include "clUpstreamMessages.h"
+
+namespace catkinloom {
+
+namespace {
+
+/// Longest time that an instance holds back a report.
+constexpr milliseconds kReportWait{ 20 };
+
+constexpr milliseconds kFirstBackOff{ 20 };
+
+/// Bytes around a body on the wire, for the count of control traffic.
+constexpr std::size_t kMessageOverhead = 160;
+
+} // namespace
+
+upstream_control::upstream_control(proxy_state& aState,
+                                   group_row_number aGroup,
+                                   manifest_instance aInstance)
+  : mState(aState)
+  , mGroup(aGroup)
+  , mInstance(std::move(aInstance))
+  , mConnection(aState.mLoop)
+  , mWake(aState.mLoop)
+{
+}
+
+void
+upstream_control::Start(report_handler aOnReport, order_handler aOnOrder)
+{
+  mOnReport = std::move(aOnReport);
+  mOnOrder = std::move(aOnOrder);
+  mState.mLoop.Spawn([self = shared_from_this()] { self->Run(); });
+}
+
+void
+upstream_control::Stop()
+{
+  mStopped = true;
+  mWake.Raise();
+}
+
+void
+upstream_control::WantPosition(term_number aTerm,
+                               log_position aPosition,
+                               time_point aUntil)
+{
+  if (mState.Now() >= mWantedUntil) {
+    mWanted = {};
+  }
+  mWantedTerm = std::max(mWantedTerm, aTerm);
+  mWanted = std::max(mWanted, aPosition);
+  mWantedUntil = std::max(mWantedUntil, aUntil);
+  mWake.Raise();
+}
+
+void
+upstream_control::WantFresh(time_point aSince)
+{
+  mWantedFreshSince = std::max(mWantedFreshSince, aSince);
+  mWake.Raise();
+}
+
+void
+upstream_control::Order(promotion_command aCommand, std::string aLeader)
+{
+  mOrders.push_back({ std::move(aCommand), std::move(aLeader) });
+  mWake.Raise();
+}
+
+void
+upstream_control::Kill(const std::string& aConnection)
+{
+  mKills.push_back(aConnection);
+  mWake.Raise();
+}
+
+std::optional<instance_number>
+upstream_control::Number() const
+{
+  return FindInstance(mState.mGroups.Group(mGroup), mInstance.mName);
+}
+
+void
+upstream_control::Run()
+{
+  while (!mStopped) {
+    if (!EnsureConnected()) {
+      Pause();
+      continue;
+    }
+    if (!SendOrders()) {
+      continue;
+    }
+    SendKills();
+    if (mConnection.IsOpen()) {
+      AskStatus();
+    }
+    if (!IsWanted() || mFailing) {
+      Pause();
+    }
+  }
+  mConnection.Close();
+}
+
+bool
+upstream_control::EnsureConnected()
+{
+  if (mConnection.IsOpen()) {
+    return true;
+  }
+  const auto connected = mConnection.Connect(
+    mInstance.mAddress, mState.mSettings.mTiming.mConnectTimeout);
+  if (connected) {
+    return true;
+  }
+  OnFailure(connected.error().mDetail);
+  // Orders to an instance that cannot be reached are given up; whoever gave
+  // them repeats them as long as they make sense.
+  mOrders.clear();
+  return false;
+}
+
+exchange_result
+upstream_control::Exchange(http_request& aRequest, milliseconds aTimeout)
+{
+  SetHeader(aRequest, header::kClient, mState.mSettings.mName + "#control");
+  const exchange_result outcome = mConnection.Exchange(aRequest, aTimeout);
+  mState.mMetrics.mControlBytes.Increment(
+    static_cast<double>(aRequest.body().size() +
+                        outcome.mResponse.body().size() + kMessageOverhead));
+  return outcome;
+}
+
+bool
+upstream_control::SendOrders()
+{
+  while (!mOrders.empty()) {
+    const pending_order order = std::move(mOrders.front());
+    mOrders.pop_front();
+    http_request request = EncodeCommand(order.mCommand, order.mLeader);
+    const time_point sentAt = mState.Now();
+    const exchange_result outcome =
+      Exchange(request, mState.mSettings.mTiming.mProbeTimeout);
+    if (!outcome.IsOk()) {
+      OnFailure(outcome.mFailure);
+      return false;
+    }
+    const auto report = DecodeReport(outcome.mResponse);
+    if (!report || mStopped) {
+      continue;
+    }
+    promotion_answer answer{ DecodeGranted(outcome.mResponse),
+                             report.value(),
+                             sentAt };
+    mOnOrder(order.mCommand, answer);
+  }
+  return true;
+}
+
+void
+upstream_control::SendKills()
+{
+  while (!mKills.empty() && mConnection.IsOpen()) {
+    http_request request =
+      MakeRequest(http::verb::post, "/kill?connection=" + mKills.front());
+    // A '#' would end the target; it travels escaped.
+    std::string target(request.target().data(), request.target().size());
+    target.replace(target.find('#'), 1, "%23");
+    request.target({ target.data(), target.size() });
+    mKills.pop_front();
+    Exchange(request, mState.mSettings.mTiming.mProbeTimeout);
+  }
+}
+
+bool
+upstream_control::IsWanted() const
+{
+  if (!mOrders.empty() || mLastSentAt < mWantedFreshSince) {
+    return true;
+  }
+  const auto number = Number();
+  if (!number || mState.Now() >= mWantedUntil) {
+    return false;
+  }
+  const auto& report = mState.mGroups.Group(mGroup).mInstances[*number].mReport;
+  return report && report->mTerm <= mWantedTerm && report->mLog < mWanted;
+}
+
+void
+upstream_control::AskStatus()
+{
+  const bool waits = mLastSentAt >= mWantedFreshSince && IsWanted();
+  const milliseconds wait = waits ? kReportWait : milliseconds(0);
+  http_request request = EncodeStatus(mWantedTerm, mWanted, wait);
+  mLastSentAt = mState.Now();
+  const time_point sentAt = mLastSentAt;
+  const exchange_result outcome =
+    Exchange(request, mState.mSettings.mTiming.mProbeTimeout + wait);
+  if (mStopped) {
+    return;
+  }
+  if (!outcome.IsOk()) {
+    OnFailure(outcome.mFailure);
+    return;
+  }
+  const auto report = DecodeReport(outcome.mResponse);
+  const auto number = Number();
+  if (!report || !number) {
+    OnFailure("The report is not understood");
+    return;
+  }
+  if (mFailing) {
+    Log(log_level::Info,
+        "upstream",
+        "Instance answers again. instance={} term={} index={}",
+        mInstance.mName,
+        report.value().mTerm,
+        report.value().mLog.mIndex);
+  }
+  mFailing = false;
+  mBackOff = milliseconds(0);
+  mState.mGroups.Record(mGroup, *number, report.value(), sentAt);
+  mOnReport(report.value(), sentAt);
+  mState.SignalOf(mGroup).Raise();
+}
+
+void
+upstream_control::OnFailure(const std::string& aCause)
+{
+  mConnection.Close();
+  const auto number = Number();
+  if (!number || mStopped) {
+    return;
+  }
+  if (!mFailing) {
+    Log(log_level::Warning,
+        "upstream",
+        "Instance does not answer. instance={} cause={}",
+        mInstance.mName,
+        aCause);
+  }
+  mFailing = true;
+  mBackOff = std::clamp(
+    mBackOff * 2, kFirstBackOff, mState.mSettings.mTiming.mProbeInterval);
+  mState.mGroups.RecordFailure(mGroup, *number, mState.Now());
+  mState.SignalOf(mGroup).Raise();
+}
+
+void
+upstream_control::Pause()
+{
+  if (mStopped || !mOrders.empty()) {
+    return;
+  }
+  const milliseconds pause =
+    mFailing ? mBackOff : mState.mSettings.mTiming.mProbeInterval;
+  mWake.WaitUntil(mState.Now() + pause);
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Daemon/clUpstreamControl.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "clHttpClient.h"
+#include "clProxyState.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace catkinloom {
+
+/// Keeps one control connection to one instance: asks for its state, waits
+/// there for log positions, and carries orders.  A fiber runs it.
+class upstream_control : public std::enable_shared_from_this<upstream_control>
+{
+public:
+  /// Called after each answer to a question about the instance's state.
+  using report_handler =
+    std::function<void(const instance_report&, time_point aSentAt)>;
+  /// Called after each answer to an order.
+  using order_handler =
+    std::function<void(const promotion_command&, const promotion_answer&)>;
+
+  upstream_control(proxy_state& aState,
+                   group_row_number aGroup,
+                   manifest_instance aInstance);
+
+  void Start(report_handler aOnReport, order_handler aOnOrder);
+  void Stop();
+
+  /// Asks the instance to report as soon as its log reaches the position;
+  /// the wish lapses at aUntil.
+  void WantPosition(term_number aTerm,
+                    log_position aPosition,
+                    time_point aUntil);
+
+  /// Asks for a report to a question sent at aSince or later.
+  void WantFresh(time_point aSince);
+
+  /// Sends an order before the next question.
+  void Order(promotion_command aCommand, std::string aLeader);
+
+  /// Asks the instance to drop a connection that went silent.
+  void Kill(const std::string& aConnection);
+
+private:
+  struct pending_order
+  {
+    promotion_command mCommand;
+    std::string mLeader;
+  };
+
+  void Run();
+  bool EnsureConnected();
+  bool SendOrders();
+  void SendKills();
+  void AskStatus();
+  void Pause();
+  bool IsWanted() const;
+  std::optional<instance_number> Number() const;
+  void OnFailure(const std::string& aCause);
+  exchange_result Exchange(http_request& aRequest, milliseconds aTimeout);
+
+  proxy_state& mState;
+  group_row_number mGroup;
+  manifest_instance mInstance;
+  http_connection_out mConnection;
+  fiber_signal mWake;
+  report_handler mOnReport;
+  order_handler mOnOrder;
+  std::deque<pending_order> mOrders;
+  std::deque<std::string> mKills;
+  term_number mWantedTerm = 0;
+  log_position mWanted;
+  time_point mWantedUntil;
+  time_point mWantedFreshSince;
+  time_point mLastSentAt;
+  milliseconds mBackOff{ 0 };
+  bool mFailing = false;
+  bool mStopped = false;
+};
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Daemon/clUpstreamDirectory.cxx
@@ -0,0 +1,177 @@
+#include "clUpstreamDirectory.h"
+
+#include "clLog.h"
+
+#include <algorithm>
+
+namespace catkinloom {
+
+std::shared_ptr<upstream_link>
+upstream_directory::Open(group_row_number aGroup,
+                         const manifest_instance& aInstance)
+{
+  auto link = std::make_shared<upstream_link>();
+  link->mInstance = aInstance;
+  link->mControl =
+    std::make_shared<upstream_control>(mState, aGroup, aInstance);
+  link->mPool = std::make_shared<upstream_pool>(mState, aInstance);
+  const std::weak_ptr<upstream_control> control = link->mControl;
+  link->mPool->SetKillHandler([control](const std::string& aConnection) {
+    if (const auto target = control.lock()) {
+      target->Kill(aConnection);
+    }
+  });
+  const std::weak_ptr<upstream_pool> pool = link->mPool;
+  link->mControl->Start(
+    [pool](const instance_report& aReport, time_point aSentAt) {
+      if (const auto target = pool.lock()) {
+        target->OnReport(aReport, aSentAt);
+      }
+    },
+    [this](const promotion_command& aCommand, const promotion_answer& aAnswer) {
+      OnOrderAnswer(aCommand, aAnswer);
+    });
+  return link;
+}
+
+void
+upstream_directory::Apply()
+{
+  const auto proxies = ProxiesPerGroup(
+    static_cast<std::uint32_t>(mState.mManifest.mProxies.size()));
+  mLinks.resize(mState.mGroups.Size());
+  for (group_row_number group = 0; group < mLinks.size(); ++group) {
+    const group_row& row = mState.mGroups.Group(group);
+    link_list links;
+    for (const instance_row& instance : row.mInstances) {
+      const manifest_instance& declared = instance.mDeclared;
+      auto& old = mLinks[group];
+      const auto kept =
+        std::find_if(old.begin(), old.end(), [&](const auto& aLink) {
+          return aLink && !row.mRetired &&
+                 aLink->mInstance.mName == declared.mName &&
+                 aLink->mInstance.mAddress == declared.mAddress;
+        });
+      if (row.mRetired) {
+        continue;
+      }
+      links.push_back(kept != old.end() ? std::move(*kept)
+                                        : Open(group, declared));
+      links.back()->mPool->SetShare(declared.mConnections / proxies);
+    }
+    for (const auto& gone : mLinks[group]) {
+      if (gone) {
+        gone->mControl->Stop();
+        gone->mPool->Stop();
+      }
+    }
+    mLinks[group] = std::move(links);
+  }
+}
+
+upstream_link*
+upstream_directory::Find(group_row_number aGroup, instance_number aInstance)
+{
+  if (aGroup >= mLinks.size() || aInstance >= mLinks[aGroup].size()) {
+    return nullptr;
+  }
+  return mLinks[aGroup][aInstance].get();
+}
+
+void
+upstream_directory::Order(const promotion_command& aCommand)
+{
+  upstream_link* link = Find(aCommand.mGroup, aCommand.mInstance);
+  const upstream_link* leader = Find(aCommand.mGroup, aCommand.mLeader);
+  if (link == nullptr || leader == nullptr) {
+    return;
+  }
+  Log(log_level::Info,
+      "promotion",
+      "Order sent. verb={} group={} instance={} term={}",
+      VerbName(aCommand.mVerb),
+      mState.mGroups.Group(aCommand.mGroup).mName,
+      link->mInstance.mName,
+      aCommand.mTerm);
+  link->mControl->Order(aCommand, leader->mInstance.mName);
+}
+
+void
+upstream_directory::OnOrderAnswer(const promotion_command& aCommand,
+                                  const promotion_answer& aAnswer)
+{
+  std::vector<promotion_command> next;
+  const bool promotes = aCommand.mVerb == promotion_verb::Promote;
+  Log(log_level::Info,
+      "promotion",
+      "Order answered. verb={} instance={} term={} granted={} log={}.{}",
+      VerbName(aCommand.mVerb),
+      Find(aCommand.mGroup, aCommand.mInstance)->mInstance.mName,
+      aCommand.mTerm,
+      aAnswer.mGranted,
+      aAnswer.mReport.mLog.mTerm,
+      aAnswer.mReport.mLog.mIndex);
+  mState.mPromotion.OnAnswer(
+    mState.mGroups, aCommand, aAnswer, mState.Now(), next);
+  if (promotes && aAnswer.mGranted) {
+    mState.mMetrics.mPromotions.Increment();
+  }
+  for (const promotion_command& command : next) {
+    Order(command);
+  }
+  mState.SignalOf(aCommand.mGroup).Raise();
+}
+
+bool
+upstream_directory::AwaitPosition(group_row_number aGroup,
+                                  term_number aTerm,
+                                  log_position aPosition,
+                                  time_point aDeadline)
+{
+  while (!IsConfirmed(mState.mGroups.Group(aGroup), aTerm, aPosition)) {
+    const bool isOver = HighestTerm(mState.mGroups.Group(aGroup)) > aTerm;
+    if (isOver || mState.Now() >= aDeadline) {
+      return false;
+    }
+    for (const auto& link : mLinks[aGroup]) {
+      link->mControl->WantPosition(aTerm, aPosition, aDeadline);
+    }
+    mState.SignalOf(aGroup).WaitUntil(aDeadline);
+  }
+  return true;
+}
+
+bool
+upstream_directory::AwaitTerm(group_row_number aGroup,
+                              term_number aTerm,
+                              time_point aSince,
+                              time_point aDeadline)
+{
+  while (true) {
+    const group_row& group = mState.mGroups.Group(aGroup);
+    const auto confirmedAt = TermConfirmedAt(group, aTerm);
+    if (confirmedAt && *confirmedAt >= aSince) {
+      return true;
+    }
+    if (HighestTerm(group) > aTerm || mState.Now() >= aDeadline) {
+      return false;
+    }
+    for (const auto& link : mLinks[aGroup]) {
+      link->mControl->WantFresh(aSince);
+    }
+    mState.SignalOf(aGroup).WaitUntil(aDeadline);
+  }
+}
+
+void
+upstream_directory::Stop()
+{
+  for (const link_list& links : mLinks) {
+    for (const auto& link : links) {
+      link->mControl->Stop();
+      link->mPool->Stop();
+    }
+  }
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Daemon/clUpstreamDirectory.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "clProxyState.h"
+#include "clUpstreamControl.h"
+#include "clUpstreamPool.h"
+
+#include <memory>
+#include <vector>
+
+namespace catkinloom {
+
+/// The adapters of one instance.
+struct upstream_link
+{
+  manifest_instance mInstance;
+  std::shared_ptr<upstream_control> mControl;
+  std::shared_ptr<upstream_pool> mPool;
+};
+
+/// Links to every instance of every group that this proxy serves.
+class upstream_directory
+{
+public:
+  explicit upstream_directory(proxy_state& aState)
+    : mState(aState)
+  {
+  }
+
+  /// Opens links to new instances, keeps the others, stops those that left.
+  void Apply();
+
+  upstream_link* Find(group_row_number aGroup, instance_number aInstance);
+
+  /// Sends an order of the promotion system to its instance.
+  void Order(const promotion_command& aCommand);
+
+  /// Waits until a majority holds the position under the term.  False when
+  /// the deadline came first or a later term began.
+  bool AwaitPosition(group_row_number aGroup,
+                     term_number aTerm,
+                     log_position aPosition,
+                     time_point aDeadline);
+
+  /// Waits until a majority, asked at aSince or later, still held the term.
+  bool AwaitTerm(group_row_number aGroup,
+                 term_number aTerm,
+                 time_point aSince,
+                 time_point aDeadline);
+
+  void Stop();
+
+private:
+  using link_list = std::vector<std::shared_ptr<upstream_link>>;
+
+  std::shared_ptr<upstream_link> Open(group_row_number aGroup,
+                                      const manifest_instance& aInstance);
+  void OnOrderAnswer(const promotion_command& aCommand,
+                     const promotion_answer& aAnswer);
+
+  proxy_state& mState;
+  std::vector<link_list> mLinks;
+};
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Daemon/clUpstreamExchange.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "clCallerRequest.h"
+#include "clUpstreamDirectory.h"
+
+namespace catkinloom {
+
+/// How sending one request to one instance ended.
+enum class exchange_end
+{
+  /// The instance answered.
+  Answered,
+  /// Nothing was sent; another try is free.
+  NotSent,
+  /// No connection could be had before the deadline.
+  NoConnection,
+  /// The caller's class has too many waiting.
+  Refused,
+  /// It was sent and no answer came.
+  Uncertain,
+};
+
+/// Result of sending one request to one instance.
+struct upstream_answer
+{
+  exchange_end mEnd = exchange_end::NotSent;
+  http_response mResponse;
+  std::string mDetail;
+  time_point mSentAt;
+};
+
+/// Sends a request to an instance over one of its pooled connections, and
+/// records what the answer tells about the instance.
+upstream_answer
+SendToUpstream(proxy_state& aState,
+               upstream_link& aLink,
+               group_row_number aGroup,
+               caller_number aCaller,
+               http_request& aRequest,
+               time_point aDeadline);
+
+/// The request as the instance gets it.
+http_request
+EncodeExecute(const caller_request& aRequest);
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Daemon/clUpstreamMessages.cxx
@@ -0,0 +1,121 @@
+#include "clUpstreamMessages.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <charconv>
+#include <fmt/format.h>
+
+namespace catkinloom {
+
+namespace {
+
+std::uint64_t
+NumberHeader(const http_response& aResponse, std::string_view aName)
+{
+  const std::string_view text = HeaderOf(aResponse, aName);
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+/// Reads a number field; false when it is absent or not a whole number.
+template<class Number>
+bool
+Read(const boost::json::object& aObject,
+     std::string_view aName,
+     Number& aNumber)
+{
+  const auto* value = aObject.if_contains(aName);
+  if (value == nullptr || !value->is_number()) {
+    return false;
+  }
+  boost::json::error_code code;
+  aNumber = value->to_number<Number>(code);
+  return !code;
+}
+
+} // namespace
+
+result<instance_report>
+DecodeReport(const http_response& aResponse)
+{
+  boost::json::error_code code;
+  const boost::json::value body = boost::json::parse(aResponse.body(), code);
+  const error bad{ error_kind::UpstreamRefused,
+                   "The instance's report is not understood." };
+  if (code || !body.is_object() || aResponse.result_int() != 200) {
+    return bad;
+  }
+  const boost::json::object& object = body.get_object();
+  instance_report report;
+  std::int64_t silence = 0;
+  const bool whole = Read(object, "term", report.mTerm) &&
+                     Read(object, "log_term", report.mLog.mTerm) &&
+                     Read(object, "log_index", report.mLog.mIndex) &&
+                     Read(object, "silence_ms", silence) &&
+                     Read(object, "connections", report.mConnections) &&
+                     Read(object, "own_connections", report.mOwnConnections);
+  const auto* leads = object.if_contains("leads");
+  const auto* follows = object.if_contains("follows");
+  if (!whole || leads == nullptr || !leads->is_bool() || follows == nullptr ||
+      !follows->is_string()) {
+    return bad;
+  }
+  report.mPrimarySilence = milliseconds(silence);
+  report.mLeads = leads->get_bool();
+  report.mFollows = follows->get_string();
+  return report;
+}
+
+bool
+DecodeGranted(const http_response& aResponse)
+{
+  boost::json::error_code code;
+  const boost::json::value body = boost::json::parse(aResponse.body(), code);
+  if (code || !body.is_object()) {
+    return false;
+  }
+  const auto* granted = body.get_object().if_contains("granted");
+  return granted != nullptr && granted->is_bool() && granted->get_bool();
+}
+
+term_number
+TermOfAnswer(const http_response& aResponse)
+{
+  return NumberHeader(aResponse, header::kTerm);
+}
+
+log_position
+LogOfAnswer(const http_response& aResponse)
+{
+  return { NumberHeader(aResponse, header::kLogTerm),
+           NumberHeader(aResponse, header::kLogIndex) };
+}
+
+http_request
+EncodeStatus(term_number aTerm, log_position aWanted, milliseconds aWait)
+{
+  return MakeRequest(
+    http::verb::get,
+    fmt::format("/status?term={}&log_term={}&log_index={}&wait_ms={}",
+                aTerm,
+                aWanted.mTerm,
+                aWanted.mIndex,
+                aWait.count()));
+}
+
+http_request
+EncodeCommand(const promotion_command& aCommand, const std::string& aLeader)
+{
+  boost::json::object body{ { "term", aCommand.mTerm } };
+  if (aCommand.mVerb == promotion_verb::Follow) {
+    body["leader"] = aLeader;
+  } else {
+    body["owner"] = aCommand.mOwner;
+  }
+  return MakeRequest(http::verb::post,
+                     fmt::format("/control/{}", VerbName(aCommand.mVerb)),
+                     boost::json::serialize(body));
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Daemon/clUpstreamPool.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "clAdmissionQueue.h"
+#include "clHttpClient.h"
+#include "clProxyState.h"
+#include "clSeatLedger.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace catkinloom {
+
+/// State in which a request leaves its connection.
+enum class connection_state
+{
+  /// Nothing of the request is left on it.
+  Clean,
+  /// It must be reset before another request may use it.
+  Dirty,
+  /// It was closed before the request was sent.
+  Unused,
+  /// It was closed with the request on it; the instance may still run it.
+  Uncertain,
+};
+
+/// One data connection to an instance.
+struct upstream_connection
+{
+  upstream_connection(event_loop& aLoop, std::string aName)
+    : mName(std::move(aName))
+    , mHttp(aLoop)
+  {
+  }
+
+  /// Name under which the instance knows it.
+  std::string mName;
+  http_connection_out mHttp;
+  /// When an answer last came over it.
+  time_point mProvenAt;
+};
+
+/// This proxy's connections to one instance, handed to one request at a time.
+class upstream_pool : public std::enable_shared_from_this<upstream_pool>
+{
+public:
+  /// Asks the instance to drop the named connection.
+  using kill_handler = std::function<void(const std::string&)>;
+
+  upstream_pool(proxy_state& aState, manifest_instance aInstance);
+
+  void SetKillHandler(kill_handler aKill) { mKill = std::move(aKill); }
+
+  /// Connections that this proxy may hold, the control connection included.
+  void SetShare(std::uint32_t aShare);
+
+  /// Hands out a connection that carries nothing of an earlier request.
+  /// Errors, all before anything was sent: Overloaded, DeadlineExceeded,
+  /// UpstreamUnreachable.
+  result<std::unique_ptr<upstream_connection>> Acquire(caller_number aCaller,
+                                                       time_point aDeadline);
+
+  void Release(std::unique_ptr<upstream_connection> aConnection,
+               caller_number aCaller,
+               connection_state aState);
+
+  /// Takes the instance's own count of this proxy's connections.
+  void OnReport(const instance_report& aReport, time_point aSentAt);
+
+  /// Closes what is idle and refuses what comes.
+  void Stop();
+
+  /// Time that a request usually takes on the instance.
+  void SetExpected(nanoseconds aExpected) { mExpected = aExpected; }
+
+  std::uint32_t Open() const { return mSeats.Open(); }
+  std::uint32_t Lingering() const { return mSeats.Lingering(); }
+  std::uint32_t Share() const { return mSeats.Share(); }
+  std::size_t Waiting() const { return mQueue.Size(); }
+
+private:
+  /// A request that waits for its turn.
+  struct waiting_caller
+  {
+    std::shared_ptr<fiber_wait> mWait;
+    std::unique_ptr<upstream_connection> mIdle;
+    bool mGranted = false;
+  };
+
+  void Pump();
+  result<void> WaitForTurn(ticket_number aTicket,
+                           waiting_caller& aWaiting,
+                           time_point aDeadline);
+  result<std::unique_ptr<upstream_connection>> Open(time_point aDeadline);
+  bool IsTrusted(upstream_connection& aConnection) const;
+  bool Reset(upstream_connection& aConnection);
+  void ResetThenPark(std::unique_ptr<upstream_connection> aConnection);
+
+  proxy_state& mState;
+  manifest_instance mInstance;
+  kill_handler mKill;
+  seat_ledger mSeats;
+  admission_queue mQueue;
+  std::map<ticket_number, waiting_caller*> mWaiting;
+  std::vector<std::unique_ptr<upstream_connection>> mIdle;
+  nanoseconds mExpected{ 0 };
+  /// Connections not proven since then may have gone silent.
+  time_point mSilenceSeenAt;
+  std::uint64_t mNextName = 1;
+  bool mStopped = false;
+};
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Decisions/clAdmissionQueue.cxx
@@ -0,0 +1,121 @@
+#include "clAdmissionQueue.h"
+
+#include <algorithm>
+
+namespace catkinloom {
+
+admission_queue::class_queue&
+admission_queue::QueueOf(caller_number aCaller)
+{
+  if (mQueues.size() <= aCaller) {
+    mQueues.resize(aCaller + 1);
+  }
+  return mQueues[aCaller];
+}
+
+std::optional<ticket_number>
+admission_queue::Push(caller_number aCaller, time_point aDeadline)
+{
+  caller_row& caller = mCallers.Row(aCaller);
+  if (caller.mWaiting >= caller.mDeclared.mMaxQueue) {
+    return std::nullopt;
+  }
+  class_queue& queue = QueueOf(aCaller);
+  if (queue.mWaiting.empty()) {
+    // A class that was away may not save up turns.
+    double least = queue.mServed;
+    bool any = false;
+    for (const class_queue& other : mQueues) {
+      if (!other.mWaiting.empty()) {
+        least = any ? std::min(least, other.mServed) : other.mServed;
+        any = true;
+      }
+    }
+    queue.mServed = std::max(queue.mServed, least);
+  }
+  queue.mWaiting.push_back({ mNextTicket, aDeadline });
+  ++caller.mWaiting;
+  ++mSize;
+  return mNextTicket++;
+}
+
+std::optional<caller_number>
+admission_queue::NextCaller() const
+{
+  std::optional<caller_number> next;
+  for (caller_number i = 0; i < mQueues.size(); ++i) {
+    const caller_row& caller = mCallers.Row(i);
+    const bool mayRun = caller.mInFlight < caller.mDeclared.mMaxInFlight;
+    if (mQueues[i].mWaiting.empty() || !mayRun) {
+      continue;
+    }
+    if (!next || mQueues[i].mServed < mQueues[*next].mServed) {
+      next = i;
+    }
+  }
+  return next;
+}
+
+void
+admission_queue::TakeFront(caller_number aCaller)
+{
+  mQueues[aCaller].mWaiting.pop_front();
+  --mCallers.Row(aCaller).mWaiting;
+  --mSize;
+}
+
+void
+admission_queue::DropUseless(caller_number aCaller,
+                             time_point aNow,
+                             nanoseconds aExpected)
+{
+  const auto& waiting = mQueues[aCaller].mWaiting;
+  while (!waiting.empty() && waiting.front().mDeadline < aNow + aExpected) {
+    TakeFront(aCaller);
+    ++mDropped;
+  }
+}
+
+std::optional<ticket_number>
+admission_queue::Pop(time_point aNow, nanoseconds aExpected)
+{
+  for (caller_number i = 0; i < mQueues.size(); ++i) {
+    DropUseless(i, aNow, aExpected);
+  }
+  const auto caller = NextCaller();
+  if (!caller) {
+    return std::nullopt;
+  }
+  class_queue& queue = mQueues[*caller];
+  const ticket_number ticket = queue.mWaiting.front().mTicket;
+  queue.mServed += 1.0 / mCallers.Row(*caller).mDeclared.mWeight;
+  TakeFront(*caller);
+  ++mCallers.Row(*caller).mInFlight;
+  return ticket;
+}
+
+void
+admission_queue::Remove(ticket_number aTicket)
+{
+  for (caller_number i = 0; i < mQueues.size(); ++i) {
+    auto& waiting = mQueues[i].mWaiting;
+    const auto found = std::find_if(
+      waiting.begin(), waiting.end(), [aTicket](const auto& aItem) {
+        return aItem.mTicket == aTicket;
+      });
+    if (found != waiting.end()) {
+      waiting.erase(found);
+      --mCallers.Row(i).mWaiting;
+      --mSize;
+      return;
+    }
+  }
+}
+
+void
+admission_queue::Finish(caller_number aCaller)
+{
+  --mCallers.Row(aCaller).mInFlight;
+}
+
+} // namespace catkinloom
--- a/Source/Decisions/clError.h
+++ b/Source/Decisions/clError.h
@@ -53,12 +53,15 @@
 };
 
 /// Stable name of an error kind, as callers and logs see it.
-std::string_view ErrorName(error_kind aKind);
+std::string_view
+ErrorName(error_kind aKind);
 
 /// HTTP status that carries an error kind to a caller.
-unsigned HttpStatusOf(error_kind aKind);
+unsigned
+HttpStatusOf(error_kind aKind);
 
 /// Stable name of an outcome, as callers and logs see it.
-std::string_view OutcomeName(request_outcome aOutcome);
+std::string_view
+OutcomeName(request_outcome aOutcome);
 
 } // namespace catkinloom
--- a/Source/Decisions/clGroupTable.cxx
+++ b/Source/Decisions/clGroupTable.cxx
@@ -81,24 +81,29 @@
 void
 group_table::Apply(const std::vector<manifest_group>& aGroups)
 {
-  std::vector<group_row> rows;
-  name_index index;
-  rows.reserve(aGroups.size());
+  for (group_row& row : mGroups) {
+    row.mRetired = true;
+  }
   for (const manifest_group& declared : aGroups) {
-    rows.push_back(RowFor(declared));
+    group_row fresh = RowFor(declared);
     if (const auto old = mIndex.Find(declared.mName)) {
-      CarryEvidence(mGroups[*old], rows.back());
+      CarryEvidence(mGroups[*old], fresh);
+      mGroups[*old] = std::move(fresh);
+      continue;
     }
-    index.Add(declared.mName, static_cast<group_row_number>(rows.size() - 1));
+    mIndex.Add(declared.mName, static_cast<group_row_number>(mGroups.size()));
+    mGroups.push_back(std::move(fresh));
   }
-  mGroups = std::move(rows);
-  mIndex = std::move(index);
 }
 
 std::optional<group_row_number>
 group_table::Find(std::string_view aName) const
 {
-  return mIndex.Find(aName);
+  const auto row = mIndex.Find(aName);
+  if (!row || mGroups[*row].mRetired) {
+    return std::nullopt;
+  }
+  return row;
 }
 
 void
@@ -123,6 +128,24 @@
   row.mSentAt = aSentAt;
 }
 
+void
+group_table::RecordProgress(group_row_number aGroup,
+                            instance_number aInstance,
+                            term_number aTerm,
+                            log_position aLog,
+                            time_point aSentAt)
+{
+  const instance_row& row = mGroups[aGroup].mInstances[aInstance];
+  if (!row.mReport || row.mReport->mTerm != aTerm) {
+    // A term that the control connection has not reported yet says nothing
+    // about who leads it.
+    return;
+  }
+  instance_report report = *row.mReport;
+  report.mLog = std::max(report.mLog, aLog);
+  Record(aGroup, aInstance, std::move(report), aSentAt);
+}
+
 void
 group_table::RecordFailure(group_row_number aGroup,
                            instance_number aInstance,
@@ -134,6 +157,17 @@
   }
 }
 
+std::optional<instance_number>
+FindInstance(const group_row& aGroup, std::string_view aName)
+{
+  for (instance_number i = 0; i < aGroup.mInstances.size(); ++i) {
+    if (aGroup.mInstances[i].mDeclared.mName == aName) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
 term_number
 HighestTerm(const group_row& aGroup)
 {
--- a/Source/Decisions/clGroupTable.h
+++ b/Source/Decisions/clGroupTable.h
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <vector>
@@ -94,6 +95,8 @@
   acknowledge_policy mAcknowledge = acknowledge_policy::Confirmed;
   std::vector<instance_row> mInstances;
   head_history mHeads;
+  /// The manifest in force no longer names it; its row number stays taken.
+  bool mRetired = false;
 
   /// Instances that make a majority.
   std::size_t Majority() const { return mInstances.size() / 2 + 1; }
@@ -103,8 +106,9 @@
 class group_table
 {
 public:
-  /// Takes over the declared groups.  Evidence about an instance survives
-  /// when its name and address are unchanged.
+  /// Takes over the declared groups.  A group keeps its row number for good,
+  /// and evidence about an instance survives when its name and address are
+  /// unchanged.
   void Apply(const std::vector<manifest_group>& aGroups);
 
   std::optional<group_row_number> Find(std::string_view aName) const;
@@ -124,30 +128,43 @@
               instance_report aReport,
               time_point aSentAt);
 
+  /// Records what a data answer told: the term and the log's end.
+  void RecordProgress(group_row_number aGroup,
+                      instance_number aInstance,
+                      term_number aTerm,
+                      log_position aLog,
+                      time_point aSentAt);
+
   /// Records that an instance did not answer.
   void RecordFailure(group_row_number aGroup,
                      instance_number aInstance,
                      time_point aNow);
 
 private:
-  std::vector<group_row> mGroups;
+  // A deque, so that references stay good while groups are added.
+  std::deque<group_row> mGroups;
   name_index mIndex;
 };
 
+/// Number of the named instance, if the group has it.
+std::optional<instance_number>
+FindInstance(const group_row& aGroup, std::string_view aName);
+
 /// Highest term that any instance of the group has reported.
-term_number HighestTerm(const group_row& aGroup);
+term_number
+HighestTerm(const group_row& aGroup);
 
 /// Latest moment at which a majority still held aTerm and none of that
 /// majority had adopted a later one.  Empty when no majority reported it.
-std::optional<time_point> TermConfirmedAt(const group_row& aGroup,
-                                          term_number aTerm);
+std::optional<time_point>
+TermConfirmedAt(const group_row& aGroup, term_number aTerm);
 
 /// True when a majority reported aTerm and a log that reaches aPosition.
-bool IsConfirmed(const group_row& aGroup,
-                 term_number aTerm,
-                 log_position aPosition);
+bool
+IsConfirmed(const group_row& aGroup, term_number aTerm, log_position aPosition);
 
 /// The instance that leads the highest reported term, if one does.
-std::optional<instance_number> PrimaryOf(const group_row& aGroup);
+std::optional<instance_number>
+PrimaryOf(const group_row& aGroup);
 
 } // namespace catkinloom
--- a/Source/Decisions/clManifest.cxx
+++ b/Source/Decisions/clManifest.cxx
@@ -1,7 +1,23 @@
 #include "clManifest.h"
 
+#include <algorithm>
+
 namespace catkinloom {
 
+namespace {
+
+/// Every proxy serves every group up to this many proxies; past it each group
+/// lives on this many and the others forward to them.
+constexpr std::uint32_t kMostProxiesPerGroup = 5;
+
+} // namespace
+
+std::uint32_t
+ProxiesPerGroup(std::uint32_t aProxies)
+{
+  return std::clamp(aProxies, 1U, kMostProxiesPerGroup);
+}
+
 std::string_view
 PolicyName(acknowledge_policy aPolicy)
 {
--- a/Source/Decisions/clManifest.h
+++ b/Source/Decisions/clManifest.h
@@ -83,7 +83,13 @@
   std::vector<manifest_group> mGroups;
 };
 
-std::string_view PolicyName(acknowledge_policy aPolicy);
-std::string_view KindName(request_kind aKind);
+/// Proxies on which each group is placed, out of all of a manifest's proxies.
+std::uint32_t
+ProxiesPerGroup(std::uint32_t aProxies);
+
+std::string_view
+PolicyName(acknowledge_policy aPolicy);
+std::string_view
+KindName(request_kind aKind);
 
 } // namespace catkinloom
--- /dev/null
+++ b/Source/Decisions/clPeerTable.cxx
@@ -0,0 +1,71 @@
+#include "clPeerTable.h"
+
+#include <algorithm>
+
+namespace catkinloom {
+
+void
+peer_table::Apply(const std::vector<manifest_proxy>& aProxies)
+{
+  std::vector<peer_row> rows;
+  for (const manifest_proxy& proxy : aProxies) {
+    if (proxy.mName == mSelf) {
+      continue;
+    }
+    peer_row row;
+    for (const peer_row& old : mRows) {
+      if (old.mDeclared.mPeerAddress == proxy.mPeerAddress) {
+        row = old;
+      }
+    }
+    row.mDeclared = proxy;
+    rows.push_back(std::move(row));
+  }
+  mRows = std::move(rows);
+}
+
+void
+peer_table::AddSeeds(const std::vector<std::string>& aAddresses)
+{
+  for (const std::string& address : aAddresses) {
+    peer_row row;
+    row.mDeclared.mName = address;
+    row.mDeclared.mPeerAddress = address;
+    mRows.push_back(std::move(row));
+  }
+}
+
+void
+peer_table::Hear(std::string_view aName,
+                 std::uint64_t aManifestVersion,
+                 bool aDraining,
+                 time_point aNow)
+{
+  for (peer_row& row : mRows) {
+    if (row.mDeclared.mName == aName) {
+      row.mHeardAt = aNow;
+      row.mManifestVersion = aManifestVersion;
+      row.mDraining = aDraining;
+    }
+  }
+}
+
+bool
+peer_table::IsLive(const peer_row& aRow, time_point aNow) const
+{
+  return aRow.mHeardAt && aNow - *aRow.mHeardAt < mTimeout;
+}
+
+std::vector<std::string_view>
+peer_table::LiveNames(time_point aNow) const
+{
+  std::vector<std::string_view> names{ mSelf };
+  for (const peer_row& row : mRows) {
+    if (IsLive(row, aNow) && !row.mDraining) {
+      names.push_back(row.mDeclared.mName);
+    }
+  }
+  return names;
+}
+
+} // namespace catkinloom
--- a/Source/Decisions/clPromotionSystem.cxx
+++ b/Source/Decisions/clPromotionSystem.cxx
@@ -61,9 +61,8 @@
     if (!isFresh || row.mFailingSince || i == primary) {
       continue;
     }
-    const bool hearsNoPrimary =
-      !primary ||
-      row.mReport->mPrimarySilence >= mSettings.mPrimarySilenceLimit;
+    const bool hearsNoPrimary = !primary || row.mReport->mPrimarySilence >=
+                                              mSettings.mPrimarySilenceLimit;
     silent += hearsNoPrimary ? 1 : 0;
   }
   return silent >= aGroup.Majority();
@@ -109,8 +108,8 @@
   if (!aRow.mLostSince || highest != aRow.mLostTerm) {
     // A higher term without a primary is another proxy's attempt: its time
     // starts anew, so that it is not overtaken in the middle.
-    const bool othersAttempt = aRow.mLostSince.has_value() ||
-                               (aRow.mTerm != 0 && highest > aRow.mTerm);
+    const bool othersAttempt =
+      aRow.mLostSince.has_value() || (aRow.mTerm != 0 && highest > aRow.mTerm);
     aRow.mLostSince =
       othersAttempt ? aNow + mSettings.mAttemptTimeout / 2 : aNow;
     aRow.mLostTerm = highest;
@@ -185,9 +184,8 @@
   // Under the Primary policy another proxy may still acknowledge on the
   // strength of a permit that it got just before the fence.
   const bool permitsCount = aGroup.mAcknowledge == acknowledge_policy::Primary;
-  const milliseconds wait = permitsCount
-                              ? mSettings.mTermPermit * 11 / 10
-                              : milliseconds(0);
+  const milliseconds wait =
+    permitsCount ? mSettings.mTermPermit * 11 / 10 : milliseconds(0);
   if (aNow < *aRow.mFencedAt + wait) {
     return;
   }
--- a/Source/Decisions/clPromotionSystem.h
+++ b/Source/Decisions/clPromotionSystem.h
@@ -149,6 +149,7 @@
   std::vector<promotion_row> mRows;
 };
 
-std::string_view VerbName(promotion_verb aVerb);
+std::string_view
+VerbName(promotion_verb aVerb);
 
 } // namespace catkinloom
--- a/Source/Decisions/clRouter.cxx
+++ b/Source/Decisions/clRouter.cxx
@@ -66,8 +66,7 @@
 }
 
 bool
-router::IsPrimaryCutOff(const group_row& aGroup,
-                        instance_number aPrimary) const
+router::IsPrimaryCutOff(const group_row& aGroup, instance_number aPrimary) const
 {
   std::size_t silent = 0;
   for (instance_number i = 0; i < aGroup.mInstances.size(); ++i) {
--- a/Source/Decisions/clRouter.h
+++ b/Source/Decisions/clRouter.h
@@ -97,14 +97,14 @@
 
 private:
   route_decision DecidePrimary(const group_row& aGroup) const;
-  bool IsPrimaryCutOff(const group_row& aGroup,
-                       instance_number aPrimary) const;
+  bool IsPrimaryCutOff(const group_row& aGroup, instance_number aPrimary) const;
   nanoseconds CostOf(const instance_row& aRow) const;
 
   router_settings mSettings;
   std::string mZone;
 };
 
-std::string_view ReasonName(route_reason aReason);
+std::string_view
+ReasonName(route_reason aReason);
 
 } // namespace catkinloom
--- a/Source/Runtime/clEndpoint.h
+++ b/Source/Runtime/clEndpoint.h
@@ -8,6 +8,7 @@
 namespace catkinloom {
 
 /// Reads `IP:port`.  Errors: BadSettings.
-result<boost::asio::ip::tcp::endpoint> ParseEndpoint(std::string_view aText);
+result<boost::asio::ip::tcp::endpoint>
+ParseEndpoint(std::string_view aText);
 
 } // namespace catkinloom
--- a/Source/Runtime/clEventLoop.cxx
+++ b/Source/Runtime/clEventLoop.cxx
@@ -73,6 +73,11 @@
   , mWork(mContext.get_executor())
   , mStacks(kStackBytes)
 {
+  // The thread's scheduler keeps its algorithm for good, because fibers may be
+  // queued in it; a later loop on the same thread uses it again.
+  if (sAlgorithm != nullptr) {
+    return;
+  }
   boost::intrusive_ptr<loop_algorithm> algorithm(new loop_algorithm);
   sAlgorithm = algorithm.get();
   boost::fibers::context::active()->get_scheduler()->set_algo(algorithm);
@@ -83,10 +88,8 @@
 void
 event_loop::Spawn(std::function<void()> aJob)
 {
-  boost::fibers::fiber(boost::fibers::launch::post,
-                       std::allocator_arg,
-                       mStacks,
-                       std::move(aJob))
+  boost::fibers::fiber(
+    boost::fibers::launch::post, std::allocator_arg, mStacks, std::move(aJob))
     .detach();
 }
 
@@ -95,7 +98,8 @@
 {
   boost::asio::steady_timer timer(mContext, aTime);
   fiber_wait wait;
-  timer.async_wait([&wait](const boost::system::error_code&) { wait.Notify(); });
+  timer.async_wait(
+    [&wait](const boost::system::error_code&) { wait.Notify(); });
   wait.Wait();
 }
 
--- a/Source/Runtime/clHttpClient.h
+++ b/Source/Runtime/clHttpClient.h
@@ -61,9 +61,10 @@
 
 /// Opens a connection for one exchange.  Errors: PlatformUnavailable when
 /// nothing usable came back.
-result<http_response> FetchOnce(event_loop& aLoop,
-                                const std::string& aAddress,
-                                const http_request& aRequest,
-                                milliseconds aTimeout);
+result<http_response>
+FetchOnce(event_loop& aLoop,
+          const std::string& aAddress,
+          const http_request& aRequest,
+          milliseconds aTimeout);
 
 } // namespace catkinloom
--- a/Source/Runtime/clHttpServer.cxx
+++ b/Source/Runtime/clHttpServer.cxx
@@ -168,10 +168,11 @@
     }
     if (code) {
       http_response refusal =
-        ErrorResponse(KindOfReadError(code), "Cannot read the request: " +
-                                               code.message() + ".");
+        ErrorResponse(KindOfReadError(code),
+                      "Cannot read the request: " + code.message() + ".");
       refusal.keep_alive(false);
-      Log(log_level::Info, "caller", "Request refused. cause={}", code.message());
+      Log(
+        log_level::Info, "caller", "Request refused. cause={}", code.message());
       Write(aStream, refusal);
       return false;
     }
@@ -189,14 +190,13 @@
     beast::error_code code;
     fiber_wait wait;
     aStream.expires_after(mServer->mLimits.mReadTimeout);
-    http::async_read(
-      aStream,
-      aBuffer,
-      aParser,
-      [&](const beast::error_code& aResult, std::size_t) {
-        code = aResult;
-        wait.Notify();
-      });
+    http::async_read(aStream,
+                     aBuffer,
+                     aParser,
+                     [&](const beast::error_code& aResult, std::size_t) {
+                       code = aResult;
+                       wait.Notify();
+                     });
     wait.Wait();
     aStream.expires_never();
     return code;
@@ -208,12 +208,11 @@
     beast::error_code code;
     fiber_wait wait;
     aStream.expires_after(mServer->mLimits.mWriteTimeout);
-    http::async_write(aStream,
-                      aResponse,
-                      [&](const beast::error_code& aResult, std::size_t) {
-                        code = aResult;
-                        wait.Notify();
-                      });
+    http::async_write(
+      aStream, aResponse, [&](const beast::error_code& aResult, std::size_t) {
+        code = aResult;
+        wait.Notify();
+      });
     wait.Wait();
     aStream.expires_never();
     return !code;
@@ -228,9 +227,9 @@
 void
 http_server::shared_state::Accept()
 {
-  mAcceptor.async_accept([self = shared_from_this()](
-                           const beast::error_code& aCode,
-                           tcp::socket aSocket) {
+  mAcceptor.async_accept([self =
+                            shared_from_this()](const beast::error_code& aCode,
+                                                tcp::socket aSocket) {
     if (self->mDraining || !self->mAcceptor.is_open()) {
       return;
     }
@@ -244,7 +243,8 @@
       return;
     }
     // Out of descriptors, for one: try again when some may have been freed.
-    Log(log_level::Warning, "caller", "Accept failed. cause={}", aCode.message());
+    Log(
+      log_level::Warning, "caller", "Accept failed. cause={}", aCode.message());
     self->mLoop.Spawn([self] {
       self->mLoop.Sleep(milliseconds(100));
       self->Accept();
--- /dev/null
+++ b/Source/Settings/clManifestReader.cxx
@@ -0,0 +1,245 @@
+#include "clManifestReader.h"
+
+#include "clGroupTable.h"
+#include "clYamlMapping.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <set>
+
+namespace catkinloom {
+
+namespace {
+
+constexpr std::uint32_t kFormat = 1;
+
+/// Connections that each proxy needs on each instance: one to ask for the
+/// instance's state and one for requests.
+constexpr std::uint32_t kLeastShare = 2;
+
+constexpr std::size_t kMostNameBytes = 64;
+
+result<std::string>
+ReadName(const yaml_mapping& aMapping,
+         std::string_view aKey,
+         std::set<std::string>& aTaken)
+{
+  BOOST_OUTCOME_TRY(std::string name, aMapping.Text(aKey));
+  const bool clean =
+    std::all_of(name.begin(), name.end(), [](unsigned char aLetter) {
+      return std::isalnum(aLetter) != 0 || aLetter == '-' || aLetter == '_';
+    });
+  if (!clean || name.size() > kMostNameBytes) {
+    return aMapping.ErrorAt(aKey,
+                            "'" + name +
+                              "' is not a name. Allowed: up to 64 letters, "
+                              "digits, '-' and '_'.");
+  }
+  if (!aTaken.insert(name).second) {
+    return aMapping.ErrorAt(aKey, "Name '" + name + "' is taken already.");
+  }
+  return name;
+}
+
+/// Opens each item of a list and reads it with aRead.
+template<class Row, class Read>
+result<std::vector<Row>>
+ReadRows(const yaml_mapping& aTop,
+         std::string_view aKey,
+         const std::vector<std::string_view>& aAllowed,
+         Read aRead)
+{
+  std::vector<Row> rows;
+  std::set<std::string> taken;
+  BOOST_OUTCOME_TRY(
+    aTop.ForEach(aKey, [&](const YAML::Node& aItem) -> result<void> {
+      BOOST_OUTCOME_TRY(
+        const yaml_mapping mapping,
+        yaml_mapping::Open(
+          aTop.File(), aItem, error_kind::BadManifest, aAllowed));
+      Row row;
+      BOOST_OUTCOME_TRY(row.mName, ReadName(mapping, "name", taken));
+      BOOST_OUTCOME_TRY(aRead(mapping, row));
+      rows.push_back(std::move(row));
+      return boost::outcome_v2::success();
+    }));
+  return rows;
+}
+
+result<void>
+ReadProxy(const yaml_mapping& aMapping, manifest_proxy& aProxy)
+{
+  BOOST_OUTCOME_TRY(aProxy.mZone, aMapping.Text("zone"));
+  BOOST_OUTCOME_TRY(aProxy.mPeerAddress, aMapping.Text("peer"));
+  return boost::outcome_v2::success();
+}
+
+result<void>
+ReadCaller(const yaml_mapping& aMapping, manifest_caller& aCaller)
+{
+  BOOST_OUTCOME_TRY(aCaller.mWeight, aMapping.Number("weight", 1, 100, 1));
+  BOOST_OUTCOME_TRY(aCaller.mMaxInFlight,
+                    aMapping.Number("max_in_flight", 1, 100000, 1000));
+  BOOST_OUTCOME_TRY(aCaller.mMaxQueue,
+                    aMapping.Number("max_queue", 1, 1000000, 1000));
+  return boost::outcome_v2::success();
+}
+
+result<void>
+ReadRequest(const yaml_mapping& aMapping, manifest_request& aRequest)
+{
+  BOOST_OUTCOME_TRY(const std::size_t kind,
+                    aMapping.Choice("kind", { "read", "write" }));
+  aRequest.mKind = kind == 0 ? request_kind::Read : request_kind::Write;
+  BOOST_OUTCOME_TRY(aRequest.mRepeatable, aMapping.Flag("repeatable", true));
+  if (!aMapping.Has("max_age")) {
+    return boost::outcome_v2::success();
+  }
+  if (aRequest.mKind == request_kind::Write) {
+    return aMapping.ErrorAt("max_age", "Only a read may have 'max_age'.");
+  }
+  BOOST_OUTCOME_TRY(
+    aRequest.mMaxAge,
+    aMapping.Duration("max_age", milliseconds(1), milliseconds(86400000)));
+  return boost::outcome_v2::success();
+}
+
+result<void>
+ReadInstance(const yaml_mapping& aMapping,
+             std::uint32_t aProxies,
+             manifest_instance& aInstance)
+{
+  BOOST_OUTCOME_TRY(aInstance.mZone, aMapping.Text("zone"));
+  BOOST_OUTCOME_TRY(aInstance.mAddress, aMapping.Text("address"));
+  BOOST_OUTCOME_TRY(aInstance.mSlots, aMapping.Number("slots", 1, 10000));
+  BOOST_OUTCOME_TRY(aInstance.mConnections,
+                    aMapping.Number("connections", 1, 100000));
+  if (aInstance.mConnections < kLeastShare * aProxies) {
+    return aMapping.ErrorAt(
+      "connections",
+      fmt::format("{} connections cannot be shared by {} proxies: each needs "
+                  "{}. Allowed: {} or more.",
+                  aInstance.mConnections,
+                  aProxies,
+                  kLeastShare,
+                  kLeastShare * aProxies));
+  }
+  return boost::outcome_v2::success();
+}
+
+result<void>
+ReadGroup(const yaml_mapping& aMapping,
+          std::uint32_t aProxies,
+          manifest_group& aGroup)
+{
+  BOOST_OUTCOME_TRY(
+    const std::size_t policy,
+    aMapping.Choice("acknowledge", { "confirmed", "primary" }, 0));
+  aGroup.mAcknowledge =
+    policy == 0 ? acknowledge_policy::Confirmed : acknowledge_policy::Primary;
+  const auto readInstance = [aProxies](const yaml_mapping& aItem,
+                                       manifest_instance& aInstance) {
+    return ReadInstance(aItem, aProxies, aInstance);
+  };
+  BOOST_OUTCOME_TRY(aGroup.mInstances,
+                    ReadRows<manifest_instance>(
+                      aMapping,
+                      "instances",
+                      { "name", "zone", "address", "slots", "connections" },
+                      readInstance));
+  if (aGroup.mInstances.empty() ||
+      aGroup.mInstances.size() > kMaxInstancesPerGroup) {
+    return aMapping.ErrorAt("instances", "A group needs 1 to 9 instances.");
+  }
+  return boost::outcome_v2::success();
+}
+
+std::size_t
+CountMissing(const std::vector<manifest_instance>& aFrom,
+             const std::vector<manifest_instance>& aIn)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aFrom.begin(), aFrom.end(), [&](const manifest_instance& aInstance) {
+      return std::none_of(
+        aIn.begin(), aIn.end(), [&](const manifest_instance& aOther) {
+          return aOther.mName == aInstance.mName &&
+                 aOther.mAddress == aInstance.mAddress;
+        });
+    }));
+}
+
+} // namespace
+
+result<manifest>
+ReadManifest(const std::string& aFile, const std::string& aText)
+{
+  BOOST_OUTCOME_TRY(const YAML::Node document,
+                    LoadYaml(aFile, aText, error_kind::BadManifest));
+  BOOST_OUTCOME_TRY(
+    const yaml_mapping top,
+    yaml_mapping::Open(
+      aFile,
+      document,
+      error_kind::BadManifest,
+      { "format", "proxies", "callers", "requests", "groups" }));
+  BOOST_OUTCOME_TRY(top.Number("format", kFormat, kFormat));
+  manifest declared;
+  BOOST_OUTCOME_TRY(declared.mProxies,
+                    ReadRows<manifest_proxy>(
+                      top, "proxies", { "name", "zone", "peer" }, ReadProxy));
+  BOOST_OUTCOME_TRY(declared.mCallers,
+                    ReadRows<manifest_caller>(
+                      top,
+                      "callers",
+                      { "name", "weight", "max_in_flight", "max_queue" },
+                      ReadCaller));
+  BOOST_OUTCOME_TRY(
+    declared.mRequests,
+    ReadRows<manifest_request>(top,
+                               "requests",
+                               { "name", "kind", "max_age", "repeatable" },
+                               ReadRequest));
+  const auto proxies = static_cast<std::uint32_t>(declared.mProxies.size());
+  BOOST_OUTCOME_TRY(
+    declared.mGroups,
+    ReadRows<manifest_group>(
+      top,
+      "groups",
+      { "name", "acknowledge", "instances" },
+      [proxies](const yaml_mapping& aItem, manifest_group& aGroup) {
+        return ReadGroup(aItem, ProxiesPerGroup(proxies), aGroup);
+      }));
+  if (declared.mProxies.empty() || declared.mGroups.empty()) {
+    return top.ErrorAt("proxies",
+                       "A manifest needs one proxy and one group or more.");
+  }
+  return declared;
+}
+
+result<void>
+CheckManifestStep(const manifest& aOld, const manifest& aNew)
+{
+  for (const manifest_group& group : aNew.mGroups) {
+    const auto old = std::find_if(
+      aOld.mGroups.begin(), aOld.mGroups.end(), [&](const auto& aGroup) {
+        return aGroup.mName == group.mName;
+      });
+    if (old == aOld.mGroups.end()) {
+      continue;
+    }
+    const std::size_t gone = CountMissing(old->mInstances, group.mInstances);
+    const std::size_t fresh = CountMissing(group.mInstances, old->mInstances);
+    if (gone + fresh > 1) {
+      return error{ error_kind::BadManifest,
+                    fmt::format("Group '{}' removes {} and adds {} instances "
+                                "in one step. Change one instance per "
+                                "manifest, so that majorities overlap.",
+                                group.mName,
+                                gone,
+                                fresh) };
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Settings/clYamlMapping.cxx
@@ -0,0 +1,283 @@
+#include "clYamlMapping.h"
+
+#include "clNearestName.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <fmt/format.h>
+#include <fstream>
+#include <sstream>
+
+namespace catkinloom {
+
+namespace {
+
+struct duration_unit
+{
+  std::string_view mSuffix;
+  milliseconds mUnit;
+};
+
+constexpr std::array kDurationUnits{
+  duration_unit{ "ms", milliseconds(1) },
+  duration_unit{ "s", milliseconds(1000) },
+  duration_unit{ "m", milliseconds(60000) },
+};
+
+error
+LocatedError(error_kind aKind,
+             const std::string& aFile,
+             const YAML::Mark& aMark,
+             const std::string& aDetail)
+{
+  return {
+    aKind,
+    fmt::format(
+      "{}:{}:{}: {}", aFile, aMark.line + 1, aMark.column + 1, aDetail)
+  };
+}
+
+std::string
+Joined(const std::vector<std::string_view>& aNames)
+{
+  return fmt::format("{}", fmt::join(aNames, ", "));
+}
+
+} // namespace
+
+std::optional<milliseconds>
+ParseDuration(std::string_view aText)
+{
+  std::int64_t count = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [stop, failure] = std::from_chars(aText.data(), end, count);
+  if (failure != std::errc{} || count < 0 || count > 1000000000) {
+    return std::nullopt;
+  }
+  const std::string_view suffix(stop, static_cast<std::size_t>(end - stop));
+  for (const duration_unit& unit : kDurationUnits) {
+    if (unit.mSuffix == suffix) {
+      return unit.mUnit * count;
+    }
+  }
+  return std::nullopt;
+}
+
+result<std::string>
+ReadFile(const std::string& aFile, error_kind aKind)
+{
+  std::ifstream stream(aFile);
+  if (!stream) {
+    return error{ aKind, aFile + ": cannot be read. Check path and rights." };
+  }
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+result<YAML::Node>
+LoadYaml(const std::string& aFile, const std::string& aText, error_kind aKind)
+{
+  // The library reports syntax errors by throwing; they end here as values.
+  try {
+    return YAML::Load(aText);
+  } catch (const YAML::Exception& failure) {
+    return LocatedError(aKind, aFile, failure.mark, failure.msg + ".");
+  }
+}
+
+result<yaml_mapping>
+yaml_mapping::Open(std::string aFile,
+                   const YAML::Node& aNode,
+                   error_kind aKind,
+                   std::vector<std::string_view> aAllowed)
+{
+  yaml_mapping mapping;
+  mapping.mFile = std::move(aFile);
+  mapping.mMark = aNode.Mark();
+  mapping.mKind = aKind;
+  if (!aNode.IsMap()) {
+    return LocatedError(aKind,
+                        mapping.mFile,
+                        aNode.Mark(),
+                        "Expected a mapping with the keys " + Joined(aAllowed) +
+                          ".");
+  }
+  for (const auto& entry : aNode) {
+    const std::string key = entry.first.Scalar();
+    const YAML::Mark mark = entry.first.Mark();
+    if (std::find(aAllowed.begin(), aAllowed.end(), key) == aAllowed.end()) {
+      return LocatedError(aKind,
+                          mapping.mFile,
+                          mark,
+                          fmt::format("Unknown key '{}'.{} Allowed: {}.",
+                                      key,
+                                      NearestNameHint(key, aAllowed),
+                                      Joined(aAllowed)));
+    }
+    if (mapping.Has(key)) {
+      return LocatedError(aKind,
+                          mapping.mFile,
+                          mark,
+                          "Key '" + key + "' stands twice. Keep one.");
+    }
+    mapping.mEntries.emplace_back(key, entry.second);
+  }
+  return mapping;
+}
+
+const YAML::Node*
+yaml_mapping::Find(std::string_view aKey) const
+{
+  for (const auto& [key, node] : mEntries) {
+    if (key == aKey) {
+      return &node;
+    }
+  }
+  return nullptr;
+}
+
+error
+yaml_mapping::ErrorAt(std::string_view aKey, const std::string& aDetail) const
+{
+  const YAML::Node* node = Find(aKey);
+  return LocatedError(
+    mKind, mFile, node == nullptr ? mMark : node->Mark(), aDetail);
+}
+
+result<std::string>
+yaml_mapping::Scalar(std::string_view aKey) const
+{
+  const YAML::Node* node = Find(aKey);
+  if (node == nullptr) {
+    return ErrorAt(aKey, fmt::format("Key '{}' is missing.", aKey));
+  }
+  if (!node->IsScalar() || node->Scalar().empty()) {
+    return ErrorAt(aKey, fmt::format("'{}' must be one plain value.", aKey));
+  }
+  return node->Scalar();
+}
+
+result<std::string>
+yaml_mapping::Text(std::string_view aKey,
+                   std::optional<std::string> aDefault) const
+{
+  if (!Has(aKey) && aDefault) {
+    return std::move(*aDefault);
+  }
+  return Scalar(aKey);
+}
+
+result<std::uint32_t>
+yaml_mapping::Number(std::string_view aKey,
+                     std::uint32_t aLeast,
+                     std::uint32_t aMost,
+                     std::optional<std::uint32_t> aDefault) const
+{
+  if (!Has(aKey) && aDefault) {
+    return *aDefault;
+  }
+  BOOST_OUTCOME_TRY(const std::string text, Scalar(aKey));
+  std::uint32_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, failure] = std::from_chars(text.data(), end, number);
+  const bool isNumber = failure == std::errc{} && stop == end;
+  if (!isNumber || number < aLeast || number > aMost) {
+    return ErrorAt(aKey,
+                   fmt::format("'{}' is '{}'. Allowed: whole numbers from {} "
+                               "to {}.",
+                               aKey,
+                               text,
+                               aLeast,
+                               aMost));
+  }
+  return number;
+}
+
+result<milliseconds>
+yaml_mapping::Duration(std::string_view aKey,
+                       milliseconds aLeast,
+                       milliseconds aMost,
+                       std::optional<milliseconds> aDefault) const
+{
+  if (!Has(aKey) && aDefault) {
+    return *aDefault;
+  }
+  BOOST_OUTCOME_TRY(const std::string text, Scalar(aKey));
+  const std::optional<milliseconds> time = ParseDuration(text);
+  if (!time || *time < aLeast || *time > aMost) {
+    return ErrorAt(aKey,
+                   fmt::format("'{}' is '{}'. Allowed: {}ms to {}ms, written "
+                               "like 250ms, 2s or 5m.",
+                               aKey,
+                               text,
+                               aLeast.count(),
+                               aMost.count()));
+  }
+  return *time;
+}
+
+result<bool>
+yaml_mapping::Flag(std::string_view aKey, bool aDefault) const
+{
+  BOOST_OUTCOME_TRY(const std::size_t choice,
+                    Choice(aKey, { "false", "true" }, aDefault ? 1 : 0));
+  return choice == 1;
+}
+
+result<std::size_t>
+yaml_mapping::Choice(std::string_view aKey,
+                     const std::vector<std::string_view>& aNames,
+                     std::optional<std::size_t> aDefault) const
+{
+  if (!Has(aKey) && aDefault) {
+    return *aDefault;
+  }
+  BOOST_OUTCOME_TRY(const std::string text, Scalar(aKey));
+  const auto found = std::find(aNames.begin(), aNames.end(), text);
+  if (found == aNames.end()) {
+    return ErrorAt(aKey,
+                   fmt::format("'{}' is '{}'.{} Allowed: {}.",
+                               aKey,
+                               text,
+                               NearestNameHint(text, aNames),
+                               Joined(aNames)));
+  }
+  return static_cast<std::size_t>(found - aNames.begin());
+}
+
+result<yaml_mapping>
+yaml_mapping::Mapping(std::string_view aKey,
+                      std::vector<std::string_view> aAllowed) const
+{
+  const YAML::Node* node = Find(aKey);
+  if (node == nullptr) {
+    yaml_mapping empty;
+    empty.mFile = mFile;
+    empty.mMark = mMark;
+    empty.mKind = mKind;
+    return empty;
+  }
+  return Open(mFile, *node, mKind, std::move(aAllowed));
+}
+
+result<void>
+yaml_mapping::ForEach(
+  std::string_view aKey,
+  const std::function<result<void>(const YAML::Node&)>& aVisit) const
+{
+  const YAML::Node* node = Find(aKey);
+  if (node == nullptr) {
+    return boost::outcome_v2::success();
+  }
+  if (!node->IsSequence()) {
+    return ErrorAt(aKey, fmt::format("'{}' must be a list.", aKey));
+  }
+  for (const YAML::Node& item : *node) {
+    BOOST_OUTCOME_TRY(aVisit(item));
+  }
+  return boost::outcome_v2::success();
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Tool/clTextTable.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace catkinloom {
+
+/// Rows of text in aligned columns, for people.
+class text_table
+{
+public:
+  explicit text_table(std::vector<std::string> aTitles)
+  {
+    mRows.push_back(std::move(aTitles));
+  }
+
+  void Add(std::vector<std::string> aRow) { mRows.push_back(std::move(aRow)); }
+
+  std::string Text() const;
+
+private:
+  std::vector<std::vector<std::string>> mRows;
+};
+
+} // namespace catkinloom
--- a/StandIns/clFakeJson.h
+++ b/StandIns/clFakeJson.h
@@ -20,18 +20,23 @@
   std::string Text(const std::string& aName) const;
 };
 
-fake_target ParseTarget(std::string_view aTarget);
+fake_target
+ParseTarget(std::string_view aTarget);
 
 /// The body as an object; an empty object when it is not one.
-boost::json::object ParseObject(const std::string& aBody);
-
-std::uint64_t NumberIn(const boost::json::object& aObject,
-                       std::string_view aName,
-                       std::uint64_t aDefault = 0);
-std::string TextIn(const boost::json::object& aObject, std::string_view aName);
-bool FlagIn(const boost::json::object& aObject, std::string_view aName);
-
-http_response JsonResponse(unsigned aStatus,
-                           const boost::json::object& aObject);
+boost::json::object
+ParseObject(const std::string& aBody);
+
+std::uint64_t
+NumberIn(const boost::json::object& aObject,
+         std::string_view aName,
+         std::uint64_t aDefault = 0);
+std::string
+TextIn(const boost::json::object& aObject, std::string_view aName);
+bool
+FlagIn(const boost::json::object& aObject, std::string_view aName);
+
+http_response
+JsonResponse(unsigned aStatus, const boost::json::object& aObject);
 
 } // namespace catkinloom
--- a/StandIns/clFakeLoadMain.cxx
+++ b/StandIns/clFakeLoadMain.cxx
@@ -27,10 +27,9 @@
           load_totals& aTotals)
 {
   const auto address = aOptions["address"].as<std::string>();
-  http_request request =
-    MakeRequest(http::verb::post,
-                aOptions["target"].as<std::string>(),
-                aOptions["body"].as<std::string>());
+  http_request request = MakeRequest(http::verb::post,
+                                     aOptions["target"].as<std::string>(),
+                                     aOptions["body"].as<std::string>());
   for (const std::string& pair :
        aOptions["header"].as<std::vector<std::string>>()) {
     const std::size_t equals = pair.find('=');
@@ -85,14 +84,15 @@
     "NAME=VALUE",
     cxxopts::value<std::vector<std::string>>()->default_value("X-Load=1"))(
     "callers", "Connections", cxxopts::value<unsigned>()->default_value("8"))(
-    "idle", "Silent connections", cxxopts::value<unsigned>()->default_value("0"))(
+    "idle",
+    "Silent connections",
+    cxxopts::value<unsigned>()->default_value("0"))(
     "seconds", "Duration", cxxopts::value<unsigned>()->default_value("3"));
   const auto parsed = options.parse(argc, argv);
   event_loop loop;
   load_totals totals;
   const time_point end =
-    loop.Clock().Now() +
-    std::chrono::seconds(parsed["seconds"].as<unsigned>());
+    loop.Clock().Now() + std::chrono::seconds(parsed["seconds"].as<unsigned>());
   if (parsed["idle"].as<unsigned>() > 0) {
     loop.Spawn([&] {
       HoldIdle(loop, parsed);
--- a/StandIns/clFakeLog.h
+++ b/StandIns/clFakeLog.h
@@ -45,7 +45,9 @@
   std::map<std::string, std::uint64_t> mKeys;
 };
 
-boost::json::object EntryToJson(const fake_log_entry& aEntry);
-fake_log_entry EntryFromJson(const boost::json::object& aObject);
+boost::json::object
+EntryToJson(const fake_log_entry& aEntry);
+fake_log_entry
+EntryFromJson(const boost::json::object& aObject);
 
 } // namespace catkinloom
--- a/StandIns/clFakePlatform.cxx
+++ b/StandIns/clFakePlatform.cxx
@@ -40,8 +40,8 @@
 http_response
 fake_platform::Handle(const http_request& aRequest)
 {
-  const fake_target target = ParseTarget(
-    { aRequest.target().data(), aRequest.target().size() });
+  const fake_target target =
+    ParseTarget({ aRequest.target().data(), aRequest.target().size() });
   const boost::json::object call = ParseObject(aRequest.body());
   if (target.mPath == "/admin") {
     return Admin(call);
@@ -140,8 +140,7 @@
   while (changes.empty() && mLoop.Clock().Now() < end) {
     auto wait = std::make_shared<fiber_wait>();
     mWatchers.push_back(wait);
-    boost::asio::steady_timer timer(mLoop.Context(),
-                                    end - mLoop.Clock().Now());
+    boost::asio::steady_timer timer(mLoop.Context(), end - mLoop.Clock().Now());
     timer.async_wait(
       [wait](const boost::system::error_code&) { wait->Notify(); });
     wait->Wait();
@@ -171,8 +170,8 @@
 fake_platform::DropLapsedLeases()
 {
   const time_point now = mLoop.Clock().Now();
-  std::erase_if(mLeases,
-                [now](const auto& aLease) { return aLease.second.second < now; });
+  std::erase_if(
+    mLeases, [now](const auto& aLease) { return aLease.second.second < now; });
   std::erase_if(mEntries, [this](const auto& aEntry) {
     const std::uint64_t lease = aEntry.second.mLease;
     return lease != 0 && !mLeases.contains(lease);
@@ -210,10 +209,9 @@
     mVmHistory.push_back(
       { aCall.at("vms").get_array(), mLoop.Clock().Now() + mVmLag });
   }
-  return JsonResponse(200,
-                      { { "reads", mReads },
-                        { "writes", mWrites },
-                        { "revision", mRevision } });
+  return JsonResponse(
+    200,
+    { { "reads", mReads }, { "writes", mWrites }, { "revision", mRevision } });
 }
 
 } // namespace catkinloom
--- a/StandIns/clFakeUpstream.cxx
+++ b/StandIns/clFakeUpstream.cxx
@@ -184,8 +184,7 @@
     return Status(aTarget, aConnection);
   }
   if (aTarget.mPath.starts_with("/control/")) {
-    return Control(
-      aTarget.mPath, ParseObject(aRequest.body()), aConnection);
+    return Control(aTarget.mPath, ParseObject(aRequest.body()), aConnection);
   }
   if (aTarget.mPath == "/outcome") {
     return Outcome(aTarget.Text("key"));
@@ -213,20 +212,20 @@
 boost::json::object
 fake_upstream::Report(const connection_state& aConnection) const
 {
-  const auto silence = std::chrono::duration_cast<milliseconds>(
-    mLoop.Clock().Now() - mHeardAt);
+  const auto silence =
+    std::chrono::duration_cast<milliseconds>(mLoop.Clock().Now() - mHeardAt);
   const log_position end = mLog.End();
-  return { { "term", mTerm },
-           { "log_term", end.mTerm },
-           { "log_index", end.mIndex },
-           { "leads", mLeads },
-           { "silence_ms", mLeads ? 0 : silence.count() },
-           { "follows", mFollows },
-           { "connections", CountConnections({}) },
-           { "own_connections",
-             aConnection.mClient.empty()
-               ? 0
-               : CountConnections(aConnection.mClient) } };
+  return {
+    { "term", mTerm },
+    { "log_term", end.mTerm },
+    { "log_index", end.mIndex },
+    { "leads", mLeads },
+    { "silence_ms", mLeads ? 0 : silence.count() },
+    { "follows", mFollows },
+    { "connections", CountConnections({}) },
+    { "own_connections",
+      aConnection.mClient.empty() ? 0 : CountConnections(aConnection.mClient) }
+  };
 }
 
 void
@@ -354,9 +353,8 @@
   }
   http_response response = RunStatements(aRequest, aConnection);
   Stamp(response);
-  SetHeader(response,
-            header::kConnectionState,
-            aConnection.mDirty ? "dirty" : "clean");
+  SetHeader(
+    response, header::kConnectionState, aConnection.mDirty ? "dirty" : "clean");
   if (mLoseAnswers > 0) {
     --mLoseAnswers;
     StaySilent(aConnection);
@@ -424,8 +422,7 @@
     index ? 200 : 404, index ? mLog.Entries()[*index - 1].mAnswer : "{}");
   SetHeader(response, header::kTerm, std::to_string(mTerm));
   const std::uint64_t place = index.value_or(mLog.End().mIndex);
-  SetHeader(
-    response, header::kLogTerm, std::to_string(mLog.TermAt(place)));
+  SetHeader(response, header::kLogTerm, std::to_string(mLog.TermAt(place)));
   SetHeader(response, header::kLogIndex, std::to_string(place));
   return response;
 }
@@ -448,13 +445,14 @@
   const bool conflict = after > mLog.End().mIndex ||
                         mLog.TermAt(after) != NumberIn(aCall, "after_term");
   boost::json::array entries;
-  for (std::size_t i = after; !conflict && i < mLog.Entries().size() &&
-                              entries.size() < kPullBatch;
+  for (std::size_t i = after;
+       !conflict && i < mLog.Entries().size() && entries.size() < kPullBatch;
        ++i) {
     entries.push_back(EntryToJson(mLog.Entries()[i]));
   }
   return JsonResponse(
-    200, { { "term", mTerm }, { "conflict", conflict }, { "entries", entries } });
+    200,
+    { { "term", mTerm }, { "conflict", conflict }, { "entries", entries } });
 }
 
 void
@@ -526,8 +524,7 @@
   if (mFetched.empty()) {
     return mLog.End();
   }
-  return { mFetched.back().mEntry.mTerm,
-           mLog.End().mIndex + mFetched.size() };
+  return { mFetched.back().mEntry.mTerm, mLog.End().mIndex + mFetched.size() };
 }
 
 void
--- a/StandIns/clFakeUpstreamMain.cxx
+++ b/StandIns/clFakeUpstreamMain.cxx
@@ -28,11 +28,19 @@
     "peer",
     "NAME=IP:port of each instance, this one included",
     cxxopts::value<std::vector<std::string>>())(
-    "slots", "Statements at once", cxxopts::value<unsigned>()->default_value("3"))(
+    "slots",
+    "Statements at once",
+    cxxopts::value<unsigned>()->default_value("3"))(
     "connections", "Limit", cxxopts::value<unsigned>()->default_value("20"))(
-    "connection-cost-ms", "Cost", cxxopts::value<unsigned>()->default_value("10"))(
-    "service-us", "Statement", cxxopts::value<unsigned>()->default_value("2000"))(
-    "lag-ms", "Replication lag", cxxopts::value<unsigned>()->default_value("0"));
+    "connection-cost-ms",
+    "Cost",
+    cxxopts::value<unsigned>()->default_value("10"))(
+    "service-us",
+    "Statement",
+    cxxopts::value<unsigned>()->default_value("2000"))(
+    "lag-ms",
+    "Replication lag",
+    cxxopts::value<unsigned>()->default_value("0"));
   const auto parsed = options.parse(argc, argv);
   catkinloom::fake_upstream_settings settings;
   settings.mName = parsed["name"].as<std::string>();
--- /dev/null
+++ b/Utilities/local_site.py
@@ -0,0 +1,332 @@
+"""A small site on the loopback address: stand-ins and daemons as processes.
+
+Used by the demo, the measurements and the tests that need real processes.
+Every process that is started here is also stopped here.
+"""
+
+import http.client
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BIN = pathlib.Path(os.environ.get("CATKINLOOM_BIN", ROOT / "build" / "bin"))
+
+DELTA_ZONES = ["tanta", "zagazig", "banha", "mansoura"]
+HIMAL_ZONES = ["bagmati-1", "bagmati-2", "bagmati-3"]
+
+
+class SiteShape:
+    """Sizes of a site."""
+
+    def __init__(self, service="faults", zones=None, groups=3, slots=3,
+                 connections=20, connection_cost_ms=10, proxies=4,
+                 service_us=2000, acknowledge="confirmed", callers=None,
+                 daemon_extra=""):
+        self.service = service
+        self.zones = zones or DELTA_ZONES
+        self.groups = groups
+        self.slots = slots
+        self.connections = connections
+        self.connection_cost_ms = connection_cost_ms
+        self.proxies = proxies
+        self.service_us = service_us
+        self.acknowledge = acknowledge
+        self.callers = callers or (
+            "  - {name: desk, weight: 4}\n"
+            "  - {name: old-system, weight: 1, max_in_flight: 2}\n")
+        self.daemon_extra = daemon_extra
+
+
+def himal_shape(**changes):
+    sizes = dict(service="chhutti", zones=HIMAL_ZONES, slots=5,
+                 connections=60, connection_cost_ms=30)
+    sizes.update(changes)
+    return SiteShape(**sizes)
+
+
+class Answer:
+    """What a caller got; status 0 means that the connection broke."""
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.body = body
+        self.outcome = headers.get("Catkinloom-Outcome", "unknown")
+        self.session = headers.get("Catkinloom-Session")
+        self.error = headers.get("Catkinloom-Error")
+        self.upstream = headers.get("Catkinloom-Upstream")
+
+
+def call(port, method, path, body="", headers=None, timeout=10.0):
+    """One HTTP exchange with a process of the site."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        return Answer(response.status, dict(response.getheaders()),
+                      response.read().decode())
+    except (OSError, http.client.HTTPException):
+        return Answer(0, {}, "")
+    finally:
+        connection.close()
+
+
+class Site:
+    """A running site; use it in a with statement."""
+
+    def __init__(self, shape=None, base_port=None, log_level="decision"):
+        self.shape = shape or SiteShape()
+        self.base = base_port or random.randrange(11, 31) * 1000
+        self.log_level = log_level
+        self.processes = {}
+        self.folder = tempfile.TemporaryDirectory(prefix="catkinloom-")
+        self.path = pathlib.Path(self.folder.name)
+        self.frozen = set()
+
+    # Addresses.
+
+    @property
+    def platform_port(self):
+        return self.base
+
+    def caller_port(self, proxy):
+        return self.base + 100 + proxy
+
+    def operator_port(self, proxy):
+        return self.base + 200 + proxy
+
+    def peer_port(self, proxy):
+        return self.base + 300 + proxy
+
+    def group_name(self, group):
+        return f"{self.shape.service}-{group + 1}"
+
+    def instance_name(self, group, instance):
+        return f"{self.group_name(group)}{'abcdefghi'[instance]}"
+
+    def instance_port(self, name):
+        group = int(name.rsplit("-", 1)[1][:-1]) - 1
+        return self.base + 400 + group * 10 + "abcdefghi".index(name[-1])
+
+    def instances(self, group):
+        return [self.instance_name(group, i) for i in range(3)]
+
+    # Files.
+
+    def manifest_text(self, note=None):
+        shape = self.shape
+        lines = ["format: 1", "proxies:"]
+        for proxy in range(shape.proxies):
+            zone = shape.zones[proxy % len(shape.zones)]
+            lines.append(f"  - {{name: proxy-{proxy + 1}, zone: {zone}, "
+                         f"peer: '127.0.0.1:{self.peer_port(proxy)}'}}")
+        lines += ["callers:", shape.callers.rstrip("\n"), "requests:",
+                  "  - {name: log-fault, kind: write, repeatable: false}",
+                  "  - {name: note, kind: write}",
+                  "  - {name: read, kind: read}",
+                  "  - {name: open-list, kind: read, max_age: 5s}"]
+        if note:
+            lines.append(f"  - {{name: {note}, kind: read}}")
+        lines.append("groups:")
+        for group in range(shape.groups):
+            lines += [f"  - name: {self.group_name(group)}",
+                      f"    acknowledge: {shape.acknowledge}",
+                      "    instances:"]
+            for i, name in enumerate(self.instances(group)):
+                zone = shape.zones[i % len(shape.zones)]
+                lines.append(
+                    f"      - {{name: {name}, zone: {zone}, "
+                    f"address: '127.0.0.1:{self.instance_port(name)}', "
+                    f"slots: {shape.slots}, "
+                    f"connections: {shape.connections}}}")
+        return "\n".join(lines) + "\n"
+
+    def write_manifest(self, note=None):
+        file = self.path / "manifest.yaml"
+        file.write_text(self.manifest_text(note))
+        return file
+
+    def write_settings(self, proxy):
+        zone = self.shape.zones[proxy % len(self.shape.zones)]
+        peers = ", ".join(f"'127.0.0.1:{self.peer_port(p)}'"
+                          for p in range(self.shape.proxies) if p != proxy)
+        file = self.path / f"proxy-{proxy + 1}.yaml"
+        file.write_text(
+            f"name: proxy-{proxy + 1}\nzone: {zone}\nlisten:\n"
+            f"  callers: 127.0.0.1:{self.caller_port(proxy)}\n"
+            f"  operators: 127.0.0.1:{self.operator_port(proxy)}\n"
+            f"  peers: 127.0.0.1:{self.peer_port(proxy)}\n"
+            f"platform:\n  addresses: ['127.0.0.1:{self.platform_port}']\n"
+            f"peers: [{peers}]\nlog: {{level: {self.log_level}}}\n"
+            f"{self.shape.daemon_extra}")
+        return file
+
+    # Processes.
+
+    def start(self, name, *command):
+        log = open(self.path / f"{name}.log", "ab")
+        self.processes[name] = subprocess.Popen(
+            [str(part) for part in command], stdout=log, stderr=log)
+        log.close()
+
+    def start_platform(self):
+        self.start("platform", BIN / "catkinloom-fake-platform", "--listen",
+                   f"127.0.0.1:{self.platform_port}")
+
+    def start_instance(self, name):
+        group = int(name.rsplit("-", 1)[1][:-1]) - 1
+        peers = [f"--peer={peer}=127.0.0.1:{self.instance_port(peer)}"
+                 for peer in self.instances(group)]
+        self.start(name, BIN / "catkinloom-fake-upstream", "--name", name,
+                   "--slots", self.shape.slots, "--connections",
+                   self.shape.connections, "--connection-cost-ms",
+                   self.shape.connection_cost_ms, "--service-us",
+                   self.shape.service_us, *peers)
+
+    def start_proxy(self, proxy):
+        self.start(f"proxy-{proxy + 1}", BIN / "catkinloomd", "--settings",
+                   self.write_settings(proxy))
+
+    def __enter__(self):
+        try:
+            self.start_platform()
+            for group in range(self.shape.groups):
+                for name in self.instances(group):
+                    self.start_instance(name)
+            for proxy in range(self.shape.proxies):
+                self.start_proxy(proxy)
+            self.until(lambda: all(
+                call(self.operator_port(p), "GET", "/status").status == 200
+                for p in range(self.shape.proxies)), "daemons listen")
+            self.submit()
+            self.until(self.is_ready, "every group has a primary")
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *ignored):
+        self.stop()
+
+    def stop(self):
+        for name in list(self.frozen):
+            self.thaw(name)
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self.folder.cleanup()
+
+    def kill(self, name):
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def freeze(self, name):
+        self.processes[name].send_signal(signal.SIGSTOP)
+        self.frozen.add(name)
+
+    def thaw(self, name):
+        self.processes[name].send_signal(signal.SIGCONT)
+        self.frozen.discard(name)
+
+    def terminate(self, name):
+        self.processes[name].send_signal(signal.SIGTERM)
+
+    def log(self, name):
+        return (self.path / f"{name}.log").read_text()
+
+    # Waiting and asking.
+
+    @staticmethod
+    def until(condition, what, timeout=30.0):
+        """Waits for a condition; the limit only ends a hopeless wait."""
+        end = time.monotonic() + timeout
+        while time.monotonic() < end:
+            if condition():
+                return
+            time.sleep(0.01)
+        raise TimeoutError(f"gave up waiting: {what}")
+
+    def tool(self, *words, proxy=0):
+        return subprocess.run(
+            [str(BIN / "catkinloom"), *[str(word) for word in words],
+             "--daemon", f"127.0.0.1:{self.operator_port(proxy)}"],
+            capture_output=True, text=True, check=False)
+
+    def submit(self, note=None, proxy=0):
+        done = self.tool("manifest", "submit", self.write_manifest(note),
+                         proxy=proxy)
+        if done.returncode != 0:
+            raise RuntimeError(done.stderr)
+        return done.stdout
+
+    def groups(self, proxy=0):
+        answer = call(self.operator_port(proxy), "GET", "/groups")
+        return json.loads(answer.body) if answer.status == 200 else []
+
+    def status(self, proxy=0):
+        answer = call(self.operator_port(proxy), "GET", "/status")
+        return json.loads(answer.body) if answer.status == 200 else {}
+
+    def primary(self, group, proxy=0):
+        for row in self.groups(proxy):
+            if row["name"] == self.group_name(group):
+                return row["primary"]
+        return ""
+
+    def is_ready(self):
+        for proxy in range(self.shape.proxies):
+            rows = self.groups(proxy)
+            if len(rows) < self.shape.groups:
+                return False
+            for row in rows:
+                in_line = [i for i in row["instances"]
+                           if i["term"] == row["term"] and i["term"] > 0]
+                if not row["primary"] or len(in_line) < 3:
+                    return False
+        return True
+
+    def admin(self, name, **fields):
+        port = (self.platform_port if name == "platform"
+                else self.instance_port(name))
+        return json.loads(
+            call(port, "POST", "/admin", json.dumps(fields)).body)
+
+    def log_entries(self, name):
+        body = call(self.instance_port(name), "GET", "/admin/log").body
+        return json.loads(body)["entries"]
+
+    def request(self, proxy, group, name, statements, session=None, key=None,
+                deadline_ms=None, caller=None):
+        headers = {}
+        if session:
+            headers["Catkinloom-Session"] = session
+        if key:
+            headers["Idempotency-Key"] = key
+        if deadline_ms:
+            headers["Catkinloom-Deadline-Ms"] = str(deadline_ms)
+        if caller:
+            headers["Catkinloom-Caller"] = caller
+        return call(self.caller_port(proxy), "POST",
+                    f"/v1/{self.group_name(group)}/{name}",
+                    json.dumps({"statements": statements}), headers,
+                    timeout=30.0)
+
+    def log_fault(self, proxy, group, key, **options):
+        return self.request(proxy, group, "log-fault",
+                            [put(f"fault/{key}", "stuck barrier arm")],
+                            key=key, **options)
+
+
+def put(key, value):
+    return {"op": "put", "key": key, "value": value}
+
+
+def get(key):
+    return {"op": "get", "key": key}
