--- a/Source/Daemon/clDaemon.cxx
+++ b/Source/Daemon/clDaemon.cxx
@@ -8,7 +8,7 @@
 namespace {
 
 /// A manifest of 6,300 groups as an operator writes it.
-constexpr std::size_t kManifestBytes = 8 * 1024 * 1024;
+constexpr std::size_t kManifestBytes = 8388608;
 
 constexpr milliseconds kDrainStep{ 20 };
 
--- a/Source/Daemon/clReadService.cxx
+++ b/Source/Daemon/clReadService.cxx
@@ -54,6 +54,7 @@
   while (mState.Now() < aRequest.mDeadline) {
     switch (Try(aRequest, attempt)) {
       case attempt_end::Served:
+        CountServed(attempt.mDecision);
         return std::move(attempt.mAnswer);
       case attempt_end::GiveUp:
         return std::move(attempt.mFailure);
@@ -64,6 +65,15 @@
   return std::move(attempt.mFailure);
 }
 
+void
+read_service::CountServed(const route_decision& aDecision)
+{
+  const bool byReplica = aDecision.mAction == route_action::UseReplica;
+  (byReplica ? mState.mMetrics.mReadsByReplica
+             : mState.mMetrics.mReadsByPrimary)
+    .Increment();
+}
+
 void
 read_service::Wait(const caller_request& aRequest)
 {
@@ -153,52 +163,50 @@
     return attempt_end::GiveUp;
   }
   aAttempt.mAnswer.mBody = std::move(aAnswer.mResponse.body());
-  return aAttempt.mDecision.mMustConfirm
-           ? JudgeCurrent(aRequest, aAttempt, aAnswer.mResponse)
-           : JudgeAge(aRequest, aAttempt, aAnswer.mResponse);
+  return JudgeState(aRequest,
+                    aAttempt,
+                    { TermOfAnswer(aAnswer.mResponse),
+                      LogOfAnswer(aAnswer.mResponse) });
 }
 
 read_service::attempt_end
-read_service::JudgeAge(const caller_request& aRequest,
-                       read_attempt& aAttempt,
-                       const http_response& aResponse)
+read_service::JudgeState(const caller_request& aRequest,
+                         read_attempt& aAttempt,
+                         const answer_evidence& aEvidence)
 {
-  // The position came with the data, so it tells more than the report on
-  // which the choice was made.
-  const log_position position = LogOfAnswer(aResponse);
-  const auto age = mState.mRouter.AgeOf(
-    mState.mGroups.Group(aRequest.mGroup), position, mState.Now());
-  const bool freshEnough = age && *age <= *aAttempt.mNeed.mMaxAge;
-  if (!freshEnough || position < aAttempt.mNeed.mFloor) {
-    aAttempt.mNeed.mExcluded |= 1U << aAttempt.mDecision.mInstance;
-    return attempt_end::TryAgain;
-  }
-  mState.mMetrics.mReadsByReplica.Increment();
-  return attempt_end::Served;
-}
-
-read_service::attempt_end
-read_service::JudgeCurrent(const caller_request& aRequest,
-                           read_attempt& aAttempt,
-                           const http_response& aResponse)
-{
-  const log_position position = LogOfAnswer(aResponse);
-  const bool sameTerm = TermOfAnswer(aResponse) == aAttempt.mDecision.mTerm &&
-                        mDirectory.AwaitTerm(aRequest.mGroup,
-                                             aAttempt.mDecision.mTerm,
-                                             aRequest.mArrivedAt,
-                                             aRequest.mDeadline);
-  if (!sameTerm) {
-    aAttempt.mFailure =
-      NoInstance(aRequest.mGroupName, route_reason::TermUnconfirmed);
-    return attempt_end::TryAgain;
-  }
-  if (position < aAttempt.mNeed.mFloor) {
-    aAttempt.mFailure = SessionAhead(aAttempt.mNeed.mFloor);
-    return attempt_end::GiveUp;
+  while (true) {
+    const read_verdict verdict =
+      JudgeRead(mState.mRouter,
+                mState.mGroups.Group(aRequest.mGroup),
+                aAttempt.mNeed,
+                aAttempt.mDecision,
+                aEvidence,
+                aRequest.mArrivedAt,
+                mState.Now());
+    switch (verdict) {
+      case read_verdict::Serve:
+        return attempt_end::Served;
+      case read_verdict::AskTerm:
+        if (mState.Now() >= aRequest.mDeadline) {
+          aAttempt.mFailure =
+            NoInstance(aRequest.mGroupName, route_reason::TermUnconfirmed);
+          return attempt_end::GiveUp;
+        }
+        mDirectory.AskTerm(
+          aRequest.mGroup, aRequest.mArrivedAt, aRequest.mDeadline);
+        break;
+      case read_verdict::TryAnother:
+        aAttempt.mNeed.mExcluded |= 1U << aAttempt.mDecision.mInstance;
+        return attempt_end::TryAgain;
+      case read_verdict::DecideAnew:
+        aAttempt.mFailure =
+          NoInstance(aRequest.mGroupName, route_reason::TermUnconfirmed);
+        return attempt_end::TryAgain;
+      case read_verdict::SessionAhead:
+        aAttempt.mFailure = SessionAhead(aAttempt.mNeed.mFloor);
+        return attempt_end::GiveUp;
+    }
   }
-  mState.mMetrics.mReadsByPrimary.Increment();
-  return attempt_end::Served;
 }
 
 } // namespace catkinloom
--- a/Source/Daemon/clReadService.h
+++ b/Source/Daemon/clReadService.h
@@ -43,12 +43,10 @@
   attempt_end Judge(const caller_request& aRequest,
                     read_attempt& aAttempt,
                     upstream_answer& aAnswer);
-  attempt_end JudgeAge(const caller_request& aRequest,
-                       read_attempt& aAttempt,
-                       const http_response& aResponse);
-  attempt_end JudgeCurrent(const caller_request& aRequest,
-                           read_attempt& aAttempt,
-                           const http_response& aResponse);
+  attempt_end JudgeState(const caller_request& aRequest,
+                         read_attempt& aAttempt,
+                         const answer_evidence& aEvidence);
+  void CountServed(const route_decision& aDecision);
   bool MayRetry();
   void Wait(const caller_request& aRequest);
 
--- a/Source/Daemon/clUpstreamControl.cxx
+++ b/Source/Daemon/clUpstreamControl.cxx
@@ -128,7 +128,7 @@
 upstream_control::Exchange(http_request& aRequest, milliseconds aTimeout)
 {
   SetHeader(aRequest, header::kClient, mState.mSettings.mName + "#control");
-  const exchange_result outcome = mConnection.Exchange(aRequest, aTimeout);
+  exchange_result outcome = mConnection.Exchange(aRequest, aTimeout);
   mState.mMetrics.mControlBytes.Increment(
     static_cast<double>(aRequest.body().size() +
                         outcome.mResponse.body().size() + kMessageOverhead));
--- a/Source/Daemon/clUpstreamDirectory.cxx
+++ b/Source/Daemon/clUpstreamDirectory.cxx
@@ -122,45 +122,42 @@
   mState.SignalOf(aCommand.mGroup).Raise();
 }
 
-bool
-upstream_directory::AwaitPosition(group_row_number aGroup,
-                                  term_number aTerm,
-                                  log_position aPosition,
-                                  time_point aDeadline)
+write_verdict
+upstream_directory::AwaitWrite(group_row_number aGroup,
+                               const answer_evidence& aEvidence,
+                               time_point aDeadline)
 {
-  while (!IsConfirmed(mState.mGroups.Group(aGroup), aTerm, aPosition)) {
-    const bool isOver = HighestTerm(mState.mGroups.Group(aGroup)) > aTerm;
-    if (isOver || mState.Now() >= aDeadline) {
-      return false;
+  while (true) {
+    const group_row& group = mState.mGroups.Group(aGroup);
+    const write_verdict verdict =
+      JudgeWrite(mState.mRouter, group, aEvidence, mState.Now());
+    if (verdict != write_verdict::KeepWaiting) {
+      return verdict;
+    }
+    if (mState.Now() >= aDeadline) {
+      return write_verdict::Uncertain;
     }
     for (const auto& link : mLinks[aGroup]) {
-      link->mControl->WantPosition(aTerm, aPosition, aDeadline);
+      if (group.mAcknowledge == acknowledge_policy::Confirmed) {
+        link->mControl->WantPosition(
+          aEvidence.mTerm, aEvidence.mLog, aDeadline);
+      } else {
+        link->mControl->WantFresh(mState.Now());
+      }
     }
     mState.SignalOf(aGroup).WaitUntil(aDeadline);
   }
-  return true;
 }
 
-bool
-upstream_directory::AwaitTerm(group_row_number aGroup,
-                              term_number aTerm,
-                              time_point aSince,
-                              time_point aDeadline)
+void
+upstream_directory::AskTerm(group_row_number aGroup,
+                            time_point aSince,
+                            time_point aDeadline)
 {
-  while (true) {
-    const group_row& group = mState.mGroups.Group(aGroup);
-    const auto confirmedAt = TermConfirmedAt(group, aTerm);
-    if (confirmedAt && *confirmedAt >= aSince) {
-      return true;
-    }
-    if (HighestTerm(group) > aTerm || mState.Now() >= aDeadline) {
-      return false;
-    }
-    for (const auto& link : mLinks[aGroup]) {
-      link->mControl->WantFresh(aSince);
-    }
-    mState.SignalOf(aGroup).WaitUntil(aDeadline);
+  for (const auto& link : mLinks[aGroup]) {
+    link->mControl->WantFresh(aSince);
   }
+  mState.SignalOf(aGroup).WaitUntil(aDeadline);
 }
 
 void
--- a/Source/Daemon/clUpstreamDirectory.h
+++ b/Source/Daemon/clUpstreamDirectory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clAnswerJudge.h"
 #include "clProxyState.h"
 #include "clUpstreamControl.h"
 #include "clUpstreamPool.h"
@@ -34,18 +35,16 @@
   /// Sends an order of the promotion system to its instance.
   void Order(const promotion_command& aCommand);
 
-  /// Waits until a majority holds the position under the term.  False when
-  /// the deadline came first or a later term began.
-  bool AwaitPosition(group_row_number aGroup,
-                     term_number aTerm,
-                     log_position aPosition,
-                     time_point aDeadline);
+  /// Waits until JudgeWrite has a verdict; Uncertain when the deadline came
+  /// first.
+  write_verdict AwaitWrite(group_row_number aGroup,
+                           const answer_evidence& aEvidence,
+                           time_point aDeadline);
 
-  /// Waits until a majority, asked at aSince or later, still held the term.
-  bool AwaitTerm(group_row_number aGroup,
-                 term_number aTerm,
-                 time_point aSince,
-                 time_point aDeadline);
+  /// Waits for news of a majority's term since aSince, or the deadline.
+  void AskTerm(group_row_number aGroup,
+               time_point aSince,
+               time_point aDeadline);
 
   void Stop();
 
--- a/Source/Daemon/clWriteService.cxx
+++ b/Source/Daemon/clWriteService.cxx
@@ -132,7 +132,7 @@
   const term_number term = TermOfAnswer(aAnswer.mResponse);
   const log_position position = LogOfAnswer(aAnswer.mResponse);
   const bool sameTerm = term == aDecision.mTerm;
-  if (!sameTerm || !IsAcknowledged(aRequest, term, position)) {
+  if (!sameTerm || !IsAcknowledged(aRequest, { term, position })) {
     Log(log_level::Warning,
         "write",
         "Write not confirmed. group={} instance={} term={} index={}",
@@ -148,18 +148,11 @@
 
 bool
 write_service::IsAcknowledged(const caller_request& aRequest,
-                              term_number aTerm,
-                              log_position aPosition)
+                              const answer_evidence& aEvidence)
 {
-  const group_row& group = mState.mGroups.Group(aRequest.mGroup);
-  if (group.mAcknowledge == acknowledge_policy::Confirmed) {
-    return mDirectory.AwaitPosition(
-      aRequest.mGroup, aTerm, aPosition, aRequest.mDeadline);
-  }
-  return mState.mRouter.HoldsPermit(group, aTerm, mState.Now()) ||
-         (mDirectory.AwaitTerm(
-            aRequest.mGroup, aTerm, mState.Now(), aRequest.mDeadline) &&
-          mState.mRouter.HoldsPermit(group, aTerm, mState.Now()));
+  return mDirectory.AwaitWrite(
+           aRequest.mGroup, aEvidence, aRequest.mDeadline) ==
+         write_verdict::Acknowledge;
 }
 
 write_service::attempt_result
@@ -216,7 +209,7 @@
                      answer.mResponse.result_int() == 200;
   const log_position position = LogOfAnswer(answer.mResponse);
   if (!found || TermOfAnswer(answer.mResponse) != decision.mTerm ||
-      !IsAcknowledged(aRequest, decision.mTerm, position)) {
+      !IsAcknowledged(aRequest, { decision.mTerm, position })) {
     return std::nullopt;
   }
   Log(log_level::Info,
--- a/Source/Daemon/clWriteService.h
+++ b/Source/Daemon/clWriteService.h
@@ -39,8 +39,7 @@
   caller_result Resolve(caller_request& aRequest, const std::string& aDetail);
   std::optional<caller_answer> LookUp(caller_request& aRequest);
   bool IsAcknowledged(const caller_request& aRequest,
-                      term_number aTerm,
-                      log_position aPosition);
+                      const answer_evidence& aEvidence);
   void Wait(const caller_request& aRequest);
 
   proxy_state& mState;
--- a/Source/Decisions/clClock.h
+++ b/Source/Decisions/clClock.h
@@ -14,7 +14,6 @@
   using period = std::nano;
   using duration = std::chrono::nanoseconds;
   using time_point = std::chrono::time_point<boot_time_line>;
-  static constexpr bool is_steady = true;
 };
 
 using time_point = boot_time_line::time_point;
--- a/Source/Decisions/clGroupTable.cxx
+++ b/Source/Decisions/clGroupTable.cxx
@@ -66,6 +66,18 @@
   mCount = std::min(mCount + 1, kSamples);
 }
 
+void
+head_history::EndTerm(std::optional<time_point> aConfirmedAt)
+{
+  if (!aConfirmedAt) {
+    mCount = 0;
+    return;
+  }
+  for (head_sample& sample : mSamples) {
+    sample.mSentAt = std::min(sample.mSentAt, *aConfirmedAt);
+  }
+}
+
 std::optional<time_point>
 head_history::FreshAt(log_position aPosition, time_point aConfirmedAt) const
 {
@@ -121,7 +133,11 @@
   if (row.mReport && aReport.mTerm < row.mReport->mTerm) {
     return;
   }
-  if (aReport.mLeads && aReport.mTerm >= HighestTerm(group)) {
+  const term_number highest = HighestTerm(group);
+  if (aReport.mTerm > highest) {
+    group.mHeads.EndTerm(TermConfirmedAt(group, highest));
+  }
+  if (aReport.mLeads && aReport.mTerm >= highest) {
     group.mHeads.Add({ aSentAt, aReport.mLog });
   }
   row.mReport = std::move(aReport);
--- a/Source/Decisions/clGroupTable.h
+++ b/Source/Decisions/clGroupTable.h
@@ -74,6 +74,10 @@
   /// keeping the earlier one, so that the history covers a long age.
   void Add(head_sample aSample);
 
+  /// A later term began.  What was observed of the old one counts up to the
+  /// moment at which a majority last confirmed it, and no further.
+  void EndTerm(std::optional<time_point> aConfirmedAt);
+
   /// Latest moment, not after aConfirmedAt, at which the primary's log ended
   /// at or before aPosition.  Empty when no observation proves one.
   std::optional<time_point> FreshAt(log_position aPosition,
--- a/Source/Decisions/clPromotionSystem.cxx
+++ b/Source/Decisions/clPromotionSystem.cxx
@@ -6,25 +6,45 @@
 
 namespace {
 
+using log_grants = std::vector<std::optional<log_position>>;
+
+bool
+Counts(const group_row& aGroup,
+       const log_grants& aGrants,
+       instance_number aInstance,
+       bool aCountLeaving)
+{
+  const bool leaving = aGroup.mInstances[aInstance].mLeaving;
+  return aGrants[aInstance].has_value() && (aCountLeaving || !leaving);
+}
+
 std::size_t
-CountGrants(const std::vector<std::optional<log_position>>& aGrants)
+CountGrants(const group_row& aGroup,
+            const log_grants& aGrants,
+            bool aCountLeaving)
 {
-  return static_cast<std::size_t>(
-    std::count_if(aGrants.begin(), aGrants.end(), [](const auto& aGrant) {
-      return aGrant.has_value();
-    }));
+  std::size_t count = 0;
+  for (instance_number i = 0; i < aGrants.size(); ++i) {
+    count += Counts(aGroup, aGrants, i, aCountLeaving) ? 1 : 0;
+  }
+  return count;
 }
 
 instance_number
-LongestLog(const std::vector<std::optional<log_position>>& aGrants)
+LongestLog(const group_row& aGroup,
+           const log_grants& aGrants,
+           bool aCountLeaving)
 {
-  instance_number best = 0;
+  std::optional<instance_number> best;
   for (instance_number i = 0; i < aGrants.size(); ++i) {
-    if (aGrants[i] && (!aGrants[best] || *aGrants[i] > *aGrants[best])) {
+    if (!Counts(aGroup, aGrants, i, aCountLeaving)) {
+      continue;
+    }
+    if (!best || *aGrants[i] > *aGrants[*best]) {
       best = i;
     }
   }
-  return best;
+  return best.value_or(0);
 }
 
 } // namespace
@@ -53,6 +73,7 @@
 promotion_system::IsPrimaryLost(const group_row& aGroup, time_point aNow) const
 {
   const auto primary = PrimaryOf(aGroup);
+  const bool leaves = primary && aGroup.mInstances[*primary].mLeaving;
   std::size_t silent = 0;
   for (instance_number i = 0; i < aGroup.mInstances.size(); ++i) {
     const instance_row& row = aGroup.mInstances[i];
@@ -61,9 +82,10 @@
     if (!isFresh || row.mFailingSince || i == primary) {
       continue;
     }
-    const bool hearsNoPrimary = !primary || row.mReport->mPrimarySilence >=
-                                              mSettings.mPrimarySilenceLimit;
-    silent += hearsNoPrimary ? 1 : 0;
+    const bool replaces = leaves && !row.mLeaving;
+    const bool isSilent =
+      row.mReport->mPrimarySilence >= mSettings.mPrimarySilenceLimit;
+    silent += !primary || replaces || isSilent ? 1 : 0;
   }
   return silent >= aGroup.Majority();
 }
@@ -184,13 +206,20 @@
   // Under the Primary policy another proxy may still acknowledge on the
   // strength of a permit that it got just before the fence.
   const bool permitsCount = aGroup.mAcknowledge == acknowledge_policy::Primary;
-  const milliseconds wait =
+  milliseconds wait =
     permitsCount ? mSettings.mTermPermit * 11 / 10 : milliseconds(0);
+  // A majority without the leaving instances holds every confirmed write, so
+  // one of them can lead.  Only when there is none must a leaving one.
+  const bool countLeaving =
+    CountGrants(aGroup, aRow.mGrants, false) < aGroup.Majority();
+  if (countLeaving) {
+    wait = std::max(wait, mSettings.mAttemptTimeout / 2);
+  }
   if (aNow < *aRow.mFencedAt + wait) {
     return;
   }
   aRow.mPhase = promotion_phase::Promoting;
-  aRow.mChosen = LongestLog(aRow.mGrants);
+  aRow.mChosen = LongestLog(aGroup, aRow.mGrants, countLeaving);
   aCommands.push_back({ promotion_verb::Promote,
                         aNumber,
                         aRow.mChosen,
@@ -216,7 +245,7 @@
   }
   if (aCommand.mVerb == promotion_verb::Fence) {
     row.mGrants[aCommand.mInstance] = aAnswer.mReport.mLog;
-    if (!row.mFencedAt && CountGrants(row.mGrants) >= group.Majority()) {
+    if (!row.mFencedAt && CountGrants(group, row.mGrants, true) >= group.Majority()) {
       row.mFencedAt = aNow;
     }
     PromoteWhenFenced(group, aCommand.mGroup, row, aNow, aCommands);
--- a/Source/Peers/clPeerNetwork.cxx
+++ b/Source/Peers/clPeerNetwork.cxx
@@ -45,7 +45,7 @@
               heartbeat = ReadHeartbeat(aContext.getParams().getHeartbeat())] {
                return mHandler.OnBeat(heartbeat);
              })
-      .then([aContext](peer_heartbeat aAnswer) mutable {
+      .then([aContext](const peer_heartbeat& aAnswer) mutable {
         WriteHeartbeat(aAnswer, aContext.getResults().initHeartbeat());
       });
   }
@@ -58,7 +58,7 @@
     }
     return Answer<peer_manifest_change>(
              [this, digests] { return mHandler.OnFetchManifest(digests); })
-      .then([aContext](peer_manifest_change aAnswer) mutable {
+      .then([aContext](const peer_manifest_change& aAnswer) mutable {
         WriteChange(aAnswer, aContext.getResults().initChange());
       });
   }
@@ -69,7 +69,7 @@
              [this, request = ReadRequest(aContext.getParams().getRequest())] {
                return mHandler.OnForward(request);
              })
-      .then([aContext](peer_answer aAnswer) mutable {
+      .then([aContext](const peer_answer& aAnswer) mutable {
         WriteAnswer(aAnswer, aContext.getResults().initAnswer());
       });
   }
--- a/Source/Runtime/clEventLoop.cxx
+++ b/Source/Runtime/clEventLoop.cxx
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::size_t kStackBytes = 128 * 1024;
+constexpr std::size_t kStackBytes = 131072;
 
 /// Round-robin order that also tells whether any fiber can run.
 class loop_algorithm : public boost::fibers::algo::algorithm
--- a/Source/Settings/clDaemonSettings.cxx
+++ b/Source/Settings/clDaemonSettings.cxx
@@ -218,6 +218,27 @@
   return ReadDurations(timing, kTimingDurations, aTiming);
 }
 
+result<void>
+ReadIdentity(const yaml_mapping& aTop, daemon_settings& aSettings)
+{
+  BOOST_OUTCOME_TRY(aSettings.mName, aTop.Text("name"));
+  BOOST_OUTCOME_TRY(aSettings.mZone, aTop.Text("zone"));
+  BOOST_OUTCOME_TRY(aSettings.mPeers, ReadTexts(aTop, "peers"));
+  return boost::outcome_v2::success();
+}
+
+result<void>
+ReadLogLevel(const yaml_mapping& aTop, std::string& aLevel)
+{
+  const std::vector<std::string_view> levels{
+    "debug", "decision", "info", "warning", "error"
+  };
+  BOOST_OUTCOME_TRY(const yaml_mapping log, aTop.Mapping("log", { "level" }));
+  BOOST_OUTCOME_TRY(const std::size_t level, log.Choice("level", levels, 1));
+  aLevel = levels[level];
+  return boost::outcome_v2::success();
+}
+
 } // namespace
 
 result<daemon_settings>
@@ -238,17 +259,10 @@
                                          "limits",
                                          "timing" }));
   daemon_settings settings;
-  BOOST_OUTCOME_TRY(settings.mName, top.Text("name"));
-  BOOST_OUTCOME_TRY(settings.mZone, top.Text("zone"));
+  BOOST_OUTCOME_TRY(ReadIdentity(top, settings));
   BOOST_OUTCOME_TRY(ReadListen(top, settings.mListen));
   BOOST_OUTCOME_TRY(ReadPlatform(top, settings));
-  BOOST_OUTCOME_TRY(settings.mPeers, ReadTexts(top, "peers"));
-  const std::vector<std::string_view> levels{
-    "debug", "decision", "info", "warning", "error"
-  };
-  BOOST_OUTCOME_TRY(const yaml_mapping log, top.Mapping("log", { "level" }));
-  BOOST_OUTCOME_TRY(const std::size_t level, log.Choice("level", levels, 1));
-  settings.mLogLevel = levels[level];
+  BOOST_OUTCOME_TRY(ReadLogLevel(top, settings.mLogLevel));
   BOOST_OUTCOME_TRY(ReadLimits(top, settings.mLimits));
   BOOST_OUTCOME_TRY(ReadTiming(top, settings.mTiming));
   return settings;
--- a/StandIns/clFakeUpstream.cxx
+++ b/StandIns/clFakeUpstream.cxx
@@ -79,7 +79,7 @@
   : mLoop(aLoop)
   , mSettings(std::move(aSettings))
   , mServer(aLoop,
-            { 8192, 4 * 1024 * 1024, milliseconds(5000), milliseconds(5000) })
+            { 8192, 4194304, milliseconds(5000), milliseconds(5000) })
   , mHeardAt(aLoop.Clock().Now())
 {
 }
--- /dev/null
+++ b/Tests/Decisions/clAdmissionQueueTest.cxx
@@ -0,0 +1,96 @@
+#include "clAdmissionQueue.h"
+#include "clRetryBudget.h"
+#include "clTestClock.h"
+
+#include <doctest/doctest.h>
+#include <map>
+
+using namespace catkinloom;
+
+namespace {
+
+struct queue_fixture
+{
+  queue_fixture()
+  {
+    mCallers.Apply({ { "desk", 3, 1000, 1000 }, { "old", 1, 2, 4 } });
+    mDesk = mCallers.Find("desk");
+    mOld = mCallers.Find("old");
+  }
+
+  caller_table mCallers;
+  admission_queue mQueue{ mCallers };
+  caller_number mDesk = 0;
+  caller_number mOld = 0;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(queue_fixture, "classes_take_turns_by_weight")
+{
+  std::map<ticket_number, caller_number> owners;
+  for (int i = 0; i < 12; ++i) {
+    owners[*mQueue.Push(mDesk, At(1000))] = mDesk;
+  }
+  for (int i = 0; i < 4; ++i) {
+    owners[*mQueue.Push(mOld, At(1000))] = mOld;
+  }
+  int old = 0;
+  for (int i = 0; i < 8; ++i) {
+    const caller_number owner = owners.at(*mQueue.Pop(At(0), {}));
+    old += owner == mOld ? 1 : 0;
+    mQueue.Finish(owner);
+  }
+  CHECK(old == 2);
+}
+
+TEST_CASE_FIXTURE(queue_fixture, "class_at_its_limit_is_slowed_not_refused")
+{
+  for (int i = 0; i < 4; ++i) {
+    REQUIRE(mQueue.Push(mOld, At(1000)).has_value());
+  }
+  CHECK(mQueue.Pop(At(0), {}).has_value());
+  CHECK(mQueue.Pop(At(0), {}).has_value());
+  CHECK_FALSE(mQueue.Pop(At(0), {}).has_value());
+  mQueue.Finish(mOld);
+  CHECK(mQueue.Pop(At(0), {}).has_value());
+}
+
+TEST_CASE_FIXTURE(queue_fixture, "class_over_its_queue_is_refused")
+{
+  for (int i = 0; i < 4; ++i) {
+    REQUIRE(mQueue.Push(mOld, At(1000)).has_value());
+  }
+  CHECK_FALSE(mQueue.Push(mOld, At(1000)).has_value());
+  CHECK(mQueue.Push(mDesk, At(1000)).has_value());
+}
+
+TEST_CASE_FIXTURE(queue_fixture, "request_that_cannot_be_answered_is_dropped")
+{
+  mQueue.Push(mDesk, At(100));
+  const auto late = mQueue.Push(mDesk, At(500));
+  CHECK(mQueue.Pop(At(90), milliseconds(20)) == late);
+  CHECK(mQueue.Dropped() == 1);
+  CHECK(mQueue.Size() == 0);
+}
+
+TEST_CASE_FIXTURE(queue_fixture, "removed_request_is_not_served")
+{
+  const auto first = mQueue.Push(mDesk, At(500));
+  const auto second = mQueue.Push(mDesk, At(500));
+  mQueue.Remove(*first);
+  CHECK(mQueue.Pop(At(0), {}) == second);
+}
+
+TEST_CASE("retry_budget_bounds_retries_to_its_share")
+{
+  retry_budget budget(10);
+  while (budget.TryRetry()) {
+  }
+  int retries = 0;
+  for (int i = 0; i < 1000; ++i) {
+    budget.OnRequest();
+    retries += budget.TryRetry() ? 1 : 0;
+  }
+  CHECK(retries == 100);
+}
--- /dev/null
+++ b/Tests/Decisions/clPromotionSystemTest.cxx
@@ -0,0 +1,193 @@
+#include "clPromotionSystem.h"
+#include "clTestClock.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace catkinloom;
+
+namespace {
+
+/// One proxy's view of a group that instance 0 led in term 1.
+struct promotion_fixture
+{
+  promotion_fixture()
+  {
+    mTable.Apply({ ThreeInstances("g") });
+    mTable.Record(0, 0, ReportOf(1, { 1, 50 }, true), At(0));
+    Replica(1, { 1, 50 }, milliseconds(0), 0);
+    Replica(2, { 1, 40 }, milliseconds(0), 0);
+  }
+
+  void Replica(instance_number aInstance,
+               log_position aLog,
+               milliseconds aSilence,
+               std::int64_t aNow)
+  {
+    instance_report report = ReportOf(1, aLog, false);
+    report.mPrimarySilence = aSilence;
+    report.mFollows = "ga";
+    mTable.Record(0, aInstance, report, At(aNow));
+  }
+
+  /// Both replicas have not heard from the primary for a while.
+  void LosePrimary(std::int64_t aNow)
+  {
+    mTable.RecordFailure(0, 0, At(aNow));
+    Replica(1, { 1, 50 }, milliseconds(400), aNow);
+    Replica(2, { 1, 40 }, milliseconds(400), aNow);
+  }
+
+  std::vector<promotion_command> Tick(std::int64_t aNow, std::size_t aRank = 0)
+  {
+    std::vector<promotion_command> commands;
+    mSystem.Tick(mTable, 0, aRank, At(aNow), commands);
+    return commands;
+  }
+
+  std::vector<promotion_command> Answer(const promotion_command& aCommand,
+                                        bool aGranted,
+                                        const instance_report& aReport,
+                                        std::int64_t aNow)
+  {
+    std::vector<promotion_command> commands;
+    mSystem.OnAnswer(mTable,
+                     aCommand,
+                     { aGranted, aReport, At(aNow) },
+                     At(aNow),
+                     commands);
+    return commands;
+  }
+
+  group_table mTable;
+  promotion_system mSystem{ {}, "proxy-1" };
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(promotion_fixture, "primary_that_replicas_hear_is_left_alone")
+{
+  mTable.RecordFailure(0, 0, At(10));
+  CHECK(Tick(100).empty());
+}
+
+TEST_CASE_FIXTURE(promotion_fixture, "lost_primary_leads_to_fence_everywhere")
+{
+  LosePrimary(500);
+  const auto commands = Tick(510);
+  REQUIRE(commands.size() == 3);
+  for (const promotion_command& command : commands) {
+    CHECK(command.mVerb == promotion_verb::Fence);
+    CHECK(command.mTerm == 2);
+    CHECK(command.mOwner == commands.front().mOwner);
+  }
+}
+
+TEST_CASE_FIXTURE(promotion_fixture, "later_rank_waits_for_the_first")
+{
+  LosePrimary(500);
+  CHECK(Tick(510, 2).empty());
+  CHECK(Tick(800, 2).empty());
+  CHECK(Tick(930, 2).size() == 3);
+}
+
+TEST_CASE_FIXTURE(promotion_fixture, "one_grant_promotes_nobody")
+{
+  LosePrimary(500);
+  const auto fences = Tick(510);
+  CHECK(Answer(fences[2], true, ReportOf(2, { 1, 40 }, false), 520).empty());
+  CHECK(Tick(600).empty());
+}
+
+TEST_CASE_FIXTURE(promotion_fixture, "majority_of_grants_promotes_longest_log")
+{
+  LosePrimary(500);
+  const auto fences = Tick(510);
+  Answer(fences[2], true, ReportOf(2, { 1, 40 }, false), 520);
+  const auto next =
+    Answer(fences[1], true, ReportOf(2, { 1, 50 }, false), 525);
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].mVerb == promotion_verb::Promote);
+  CHECK(next[0].mInstance == 1);
+  CHECK(next[0].mTerm == 2);
+  CHECK(next[0].mOwner == fences[0].mOwner);
+}
+
+TEST_CASE_FIXTURE(promotion_fixture, "longer_log_of_older_term_is_not_longest")
+{
+  LosePrimary(500);
+  const auto fences = Tick(510);
+  Answer(fences[2], true, ReportOf(2, { 1, 900 }, false), 520);
+  const auto next = Answer(fences[1], true, ReportOf(2, { 2, 60 }, false), 525);
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].mInstance == 1);
+}
+
+TEST_CASE_FIXTURE(promotion_fixture, "refused_fence_promotes_nobody")
+{
+  LosePrimary(500);
+  const auto fences = Tick(510);
+  Answer(fences[1], false, ReportOf(2, { 1, 50 }, false), 520);
+  CHECK(Answer(fences[2], false, ReportOf(2, { 1, 40 }, false), 525).empty());
+}
+
+TEST_CASE_FIXTURE(promotion_fixture, "primary_policy_waits_out_the_permits")
+{
+  mTable.Group(0).mAcknowledge = acknowledge_policy::Primary;
+  LosePrimary(500);
+  const auto fences = Tick(510);
+  Answer(fences[2], true, ReportOf(2, { 1, 40 }, false), 520);
+  CHECK(Answer(fences[1], true, ReportOf(2, { 1, 50 }, false), 525).empty());
+  CHECK(Tick(525 + 250).empty());
+  const auto next = Tick(525 + 276);
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].mVerb == promotion_verb::Promote);
+}
+
+TEST_CASE_FIXTURE(promotion_fixture, "stuck_attempt_is_tried_under_a_new_term")
+{
+  LosePrimary(500);
+  const auto first = Tick(510);
+  REQUIRE(first.size() == 3);
+  Answer(first[2], true, ReportOf(2, { 1, 40 }, false), 520);
+  Tick(1400);
+  instance_report waiting = ReportOf(2, { 1, 40 }, false);
+  waiting.mPrimarySilence = milliseconds(900);
+  mTable.Record(0, 2, waiting, At(1400));
+  Replica(1, { 1, 50 }, milliseconds(900), 1400);
+  Tick(1410);
+  const auto second = Tick(2300);
+  // Reports have gone stale by then: nothing may be decided on them.
+  CHECK(second.empty());
+  mTable.Record(0, 2, waiting, At(2300));
+  Replica(1, { 1, 50 }, milliseconds(900), 2300);
+  const auto third = Tick(2310);
+  REQUIRE(third.size() == 3);
+  CHECK(third[0].mTerm == 3);
+  CHECK(third[0].mOwner != first[0].mOwner);
+}
+
+TEST_CASE_FIXTURE(promotion_fixture, "replaced_primary_is_told_to_follow")
+{
+  mTable.Record(0, 1, ReportOf(2, { 2, 51 }, true), At(100));
+  const auto commands = Tick(500);
+  REQUIRE(commands.size() == 2);
+  CHECK(commands[0].mVerb == promotion_verb::Follow);
+  CHECK(commands[0].mInstance == 0);
+  CHECK(commands[0].mLeader == 1);
+  CHECK(commands[0].mTerm == 2);
+}
+
+TEST_CASE_FIXTURE(promotion_fixture, "leaving_primary_hands_over_to_one_staying")
+{
+  mTable.Group(0).mInstances[0].mLeaving = true;
+  const auto fences = Tick(100);
+  REQUIRE(fences.size() == 3);
+  CHECK(Answer(fences[0], true, ReportOf(2, { 1, 60 }, false), 110).empty());
+  CHECK(Answer(fences[1], true, ReportOf(2, { 1, 50 }, false), 112).empty());
+  const auto next =
+    Answer(fences[2], true, ReportOf(2, { 1, 40 }, false), 114);
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].mVerb == promotion_verb::Promote);
+  CHECK(next[0].mInstance == 1);
+}
--- /dev/null
+++ b/Tests/Histories/clHistoryWorld.cxx
@@ -0,0 +1,370 @@
+#include "Histories/clHistoryWorld.h"
+
+#include <algorithm>
+
+namespace catkinloom {
+
+namespace {
+
+constexpr std::size_t kInstances = 3;
+constexpr std::uint32_t kSessions = 3;
+constexpr milliseconds kMaxAge{ 500 };
+
+/// Cuts numbers off a step's choice, one after the other.
+class step_choice
+{
+public:
+  explicit step_choice(std::uint32_t aChoice)
+    : mRest(aChoice)
+  {
+  }
+
+  std::uint32_t Below(std::uint32_t aLimit)
+  {
+    const std::uint32_t taken = mRest % aLimit;
+    mRest /= aLimit;
+    return taken;
+  }
+
+private:
+  std::uint32_t mRest;
+};
+
+} // namespace
+
+void
+history_counts::Add(const history_counts& aOther)
+{
+  mStaleReads += aOther.mStaleReads;
+  mLostWrites += aOther.mLostWrites;
+  mStaleAcknowledgements += aOther.mStaleAcknowledgements;
+  mTooOldReads += aOther.mTooOldReads;
+  mAcknowledged += aOther.mAcknowledged;
+  mServedReads += aOther.mServedReads;
+  mReplicaReads += aOther.mReplicaReads;
+  mPromotions += aOther.mPromotions;
+}
+
+history_world::history_world(std::size_t aProxies, acknowledge_policy aPolicy)
+  : mGroup(kInstances)
+  , mFloors(kSessions)
+  , mNow(std::chrono::hours(1))
+{
+  manifest_group declared{ "g", aPolicy, {} };
+  for (instance_number i = 0; i < kInstances; ++i) {
+    declared.mInstances.push_back(
+      { HistoryInstanceName(i), "a", "x", 3, 20 });
+    mGroup.At(i).mHeardAt = mNow;
+  }
+  mProxies.reserve(aProxies);
+  for (std::size_t i = 0; i < aProxies; ++i) {
+    mProxies.emplace_back(router_settings{}, "proxy-" + std::to_string(i));
+    mProxies.back().mTable.Apply({ declared });
+  }
+}
+
+bool
+history_world::CanReach(const history_proxy& aProxy,
+                        instance_number aInstance) const
+{
+  return (aProxy.mUnreachable >> aInstance & 1U) == 0;
+}
+
+void
+history_world::Step(std::uint32_t aStep)
+{
+  step_choice choice(aStep);
+  const std::uint32_t kind = choice.Below(24);
+  history_proxy& proxy =
+    mProxies[choice.Below(static_cast<std::uint32_t>(mProxies.size()))];
+  const instance_number instance = choice.Below(kInstances);
+  const std::uint32_t rest = choice.Below(4096);
+  history_instance& target = mGroup.At(instance);
+  switch (kind) {
+    case 0:
+      target.mIsolated = true;
+      break;
+    case 1:
+      target.mIsolated = false;
+      target.mPullBatch = 100;
+      break;
+    case 2:
+      target.mPullBatch = rest % 2;
+      break;
+    case 3:
+      proxy.mUnreachable ^= 1U << instance;
+      break;
+    case 4:
+      proxy.mFrozen = true;
+      break;
+    case 5:
+      proxy.mFrozen = false;
+      break;
+    case 6:
+      ProbeLate(proxy, instance);
+      break;
+    case 7:
+      DeliverReports(proxy);
+      break;
+    case 8:
+      DeliverCommand(proxy, rest);
+      break;
+    case 9:
+    case 10:
+    case 11:
+      Write(proxy, rest % kSessions);
+      break;
+    case 12:
+      Read(proxy, rest % kSessions, false);
+      break;
+    case 13:
+    case 14:
+      Read(proxy, rest % kSessions, true);
+      break;
+    case 15:
+      JudgeAll(proxy);
+      break;
+    default:
+      Round(rest);
+      break;
+  }
+}
+
+void
+history_world::Round(std::uint32_t aChoice)
+{
+  mNow += milliseconds(5 + aChoice % 180);
+  for (instance_number i = 0; i < kInstances; ++i) {
+    mGroup.Pull(i, mNow);
+  }
+  for (std::size_t rank = 0; rank < mProxies.size(); ++rank) {
+    history_proxy& proxy = mProxies[rank];
+    if (proxy.mFrozen) {
+      continue;
+    }
+    DeliverAcknowledgements(proxy);
+    for (instance_number i = 0; i < kInstances; ++i) {
+      if (CanReach(proxy, i)) {
+        proxy.mTable.Record(0, i, mGroup.Report(i, mNow), mNow);
+      } else {
+        proxy.mTable.RecordFailure(0, i, mNow);
+      }
+    }
+    // Ranks agree most of the time, as they do when proxies see each other.
+    const std::size_t order = aChoice % 7 == 0 ? 0 : rank;
+    proxy.mPromotion.Tick(proxy.mTable, 0, order, mNow, proxy.mCommands);
+    const std::size_t deliveries = 2 + aChoice % 4;
+    for (std::size_t i = 0; i < deliveries; ++i) {
+      DeliverCommand(proxy, aChoice + static_cast<std::uint32_t>(i));
+    }
+    JudgeAll(proxy);
+  }
+}
+
+void
+history_world::ProbeLate(history_proxy& aProxy, instance_number aInstance)
+{
+  if (CanReach(aProxy, aInstance)) {
+    aProxy.mReports.push_back(
+      { aInstance, mGroup.Report(aInstance, mNow), mNow });
+  }
+}
+
+void
+history_world::DeliverReports(history_proxy& aProxy)
+{
+  if (aProxy.mFrozen) {
+    return;
+  }
+  for (pending_report& report : aProxy.mReports) {
+    aProxy.mTable.Record(
+      0, report.mInstance, std::move(report.mReport), report.mSentAt);
+  }
+  aProxy.mReports.clear();
+}
+
+void
+history_world::DeliverCommand(history_proxy& aProxy, std::uint32_t aChoice)
+{
+  // A command on the wire arrives although its sender froze meanwhile.
+  if (aProxy.mCommands.empty()) {
+    return;
+  }
+  const std::size_t index = aChoice % aProxy.mCommands.size();
+  const promotion_command command = aProxy.mCommands[index];
+  aProxy.mCommands.erase(aProxy.mCommands.begin() +
+                         static_cast<std::ptrdiff_t>(index));
+  if (!CanReach(aProxy, command.mInstance)) {
+    return;
+  }
+  const bool led = mGroup.At(command.mInstance).mLeads;
+  const promotion_answer answer = mGroup.Obey(command, mNow);
+  if (!led && mGroup.At(command.mInstance).mLeads) {
+    ++mCounts.mPromotions;
+    CheckLeaderHoldsAll();
+  }
+  const bool answerIsLost = aChoice % 5 == 0 || aProxy.mFrozen;
+  if (!answerIsLost) {
+    aProxy.mPromotion.OnAnswer(
+      aProxy.mTable, command, answer, mNow, aProxy.mCommands);
+  }
+}
+
+void
+history_world::Write(history_proxy& aProxy, std::uint32_t aSession)
+{
+  if (aProxy.mFrozen) {
+    return;
+  }
+  const route_decision decision =
+    aProxy.mRouter.DecideWrite(aProxy.mTable.Group(0), mNow);
+  if (decision.mAction != route_action::UsePrimary ||
+      !CanReach(aProxy, decision.mInstance)) {
+    return;
+  }
+  const std::uint32_t write = mNextWrite++;
+  const auto position = mGroup.Write(decision.mInstance, write);
+  const term_number term = mGroup.At(decision.mInstance).mTerm;
+  if (!position || term != decision.mTerm) {
+    return;
+  }
+  aProxy.mTable.RecordProgress(0, decision.mInstance, term, *position, mNow);
+  aProxy.mWrites.push_back({ write, aSession, { term, *position }, mNow });
+}
+
+void
+history_world::Read(history_proxy& aProxy, std::uint32_t aSession, bool aAged)
+{
+  if (aProxy.mFrozen) {
+    return;
+  }
+  pending_read read;
+  read.mSession = aSession;
+  read.mArrivedAt = mNow;
+  read.mNeed.mFloor = mFloors[aSession];
+  if (aAged) {
+    read.mNeed.mMaxAge = kMaxAge;
+  }
+  read.mDecision =
+    aProxy.mRouter.DecideRead(aProxy.mTable.Group(0), read.mNeed, mNow);
+  const instance_number instance = read.mDecision.mInstance;
+  if (read.mDecision.mAction == route_action::Wait ||
+      !CanReach(aProxy, instance)) {
+    return;
+  }
+  const history_instance& target = mGroup.At(instance);
+  read.mEvidence = { target.mTerm, target.End() };
+  for (const history_write& write : mAcknowledged) {
+    if (mGroup.Holds(instance, write.mEvidence.mLog, write.mWrite)) {
+      continue;
+    }
+    read.mMissesAnyWrite = true;
+    read.mMissesOwnWrite |= write.mSession == aSession;
+    read.mMissesOldWrite |= write.mAcknowledgedAt + kMaxAge < mNow;
+  }
+  aProxy.mTable.RecordProgress(
+    0, instance, read.mEvidence.mTerm, read.mEvidence.mLog, mNow);
+  aProxy.mReads.push_back(read);
+  JudgeReads(aProxy);
+}
+
+void
+history_world::JudgeAll(history_proxy& aProxy)
+{
+  if (aProxy.mFrozen) {
+    return;
+  }
+  JudgeWrites(aProxy);
+  JudgeReads(aProxy);
+}
+
+void
+history_world::JudgeWrites(history_proxy& aProxy)
+{
+  std::erase_if(aProxy.mWrites, [&](history_write& aWrite) {
+    const write_verdict verdict = JudgeWrite(
+      aProxy.mRouter, aProxy.mTable.Group(0), aWrite.mEvidence, mNow);
+    if (verdict == write_verdict::Acknowledge) {
+      const auto leader = mGroup.Leader();
+      const bool replaced =
+        leader && mGroup.At(*leader).mTerm > aWrite.mEvidence.mTerm &&
+        !mGroup.Holds(*leader, aWrite.mEvidence.mLog, aWrite.mWrite);
+      mCounts.mStaleAcknowledgements += replaced ? 1 : 0;
+      // The answer reaches the caller later; the proxy may freeze before.
+      aProxy.mDecided.push_back(aWrite);
+    }
+    return verdict != write_verdict::KeepWaiting;
+  });
+}
+
+void
+history_world::DeliverAcknowledgements(history_proxy& aProxy)
+{
+  for (history_write& write : aProxy.mDecided) {
+    write.mAcknowledgedAt = mNow;
+    log_position& floor = mFloors[write.mSession];
+    floor = std::max(floor, write.mEvidence.mLog);
+    mAcknowledged.push_back(write);
+    ++mCounts.mAcknowledged;
+  }
+  const bool any = !aProxy.mDecided.empty();
+  aProxy.mDecided.clear();
+  if (any) {
+    CheckLeaderHoldsAll();
+  }
+}
+
+void
+history_world::JudgeReads(history_proxy& aProxy)
+{
+  std::erase_if(aProxy.mReads, [&](const pending_read& aRead) {
+    const read_verdict verdict = JudgeRead(aProxy.mRouter,
+                                           aProxy.mTable.Group(0),
+                                           aRead.mNeed,
+                                           aRead.mDecision,
+                                           aRead.mEvidence,
+                                           aRead.mArrivedAt,
+                                           mNow);
+    if (verdict == read_verdict::Serve) {
+      const bool current = aRead.mDecision.mMustConfirm;
+      ++mCounts.mServedReads;
+      mCounts.mReplicaReads += current ? 0 : 1;
+      const bool stale =
+        aRead.mMissesOwnWrite || (current && aRead.mMissesAnyWrite);
+      mCounts.mStaleReads += stale ? 1 : 0;
+      mCounts.mTooOldReads += aRead.mMissesOldWrite ? 1 : 0;
+    }
+    return verdict != read_verdict::AskTerm;
+  });
+}
+
+void
+history_world::CheckLeaderHoldsAll()
+{
+  const auto leader = mGroup.Leader();
+  if (!leader) {
+    return;
+  }
+  const auto dropLost = [&](const history_write& aWrite) {
+    const bool later = mGroup.At(*leader).mTerm >= aWrite.mEvidence.mTerm;
+    const bool lost =
+      later && !mGroup.Holds(*leader, aWrite.mEvidence.mLog, aWrite.mWrite);
+    mCounts.mLostWrites += lost ? 1 : 0;
+    return lost;
+  };
+  std::erase_if(mAcknowledged, dropLost);
+  // An acknowledgement on its way counts as well: a later primary may bring
+  // the write back, but a session must not rely on that.
+  for (history_proxy& proxy : mProxies) {
+    std::erase_if(proxy.mDecided, dropLost);
+  }
+}
+
+history_counts
+history_world::Finish()
+{
+  CheckLeaderHoldsAll();
+  return mCounts;
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Tests/Histories/clHistoryWorld.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "Histories/clHistoryGroup.h"
+#include "clAnswerJudge.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace catkinloom {
+
+/// Broken promises of one history.
+struct history_counts
+{
+  std::uint64_t mStaleReads = 0;
+  std::uint64_t mLostWrites = 0;
+  std::uint64_t mStaleAcknowledgements = 0;
+  std::uint64_t mTooOldReads = 0;
+  /// What happened at all, to show that the histories are not empty.
+  std::uint64_t mAcknowledged = 0;
+  std::uint64_t mServedReads = 0;
+  std::uint64_t mReplicaReads = 0;
+  std::uint64_t mPromotions = 0;
+
+  std::uint64_t Broken() const
+  {
+    return mStaleReads + mLostWrites + mStaleAcknowledgements + mTooOldReads;
+  }
+  void Add(const history_counts& aOther);
+};
+
+/// Proxies before one group, driven step by step through failures.  The
+/// decisions are the product's own; only time, network and data are made up.
+class history_world
+{
+public:
+  history_world(std::size_t aProxies, acknowledge_policy aPolicy);
+
+  /// Does what one number stands for.
+  void Step(std::uint32_t aStep);
+
+  /// Ends the history and counts what is still owed.
+  history_counts Finish();
+
+private:
+  struct history_write
+  {
+    std::uint32_t mWrite = 0;
+    std::uint32_t mSession = 0;
+    answer_evidence mEvidence;
+    time_point mAcknowledgedAt;
+  };
+
+  struct pending_read
+  {
+    std::uint32_t mSession = 0;
+    read_need mNeed;
+    route_decision mDecision;
+    answer_evidence mEvidence;
+    time_point mArrivedAt;
+    /// The instance lacked a write that it had to show.
+    bool mMissesOwnWrite = false;
+    bool mMissesOldWrite = false;
+    bool mMissesAnyWrite = false;
+  };
+
+  struct pending_report
+  {
+    instance_number mInstance = 0;
+    instance_report mReport;
+    time_point mSentAt;
+  };
+
+  struct history_proxy
+  {
+    history_proxy(const router_settings& aSettings, std::string aName)
+      : mRouter(aSettings, "a")
+      , mPromotion({}, std::move(aName))
+    {
+    }
+
+    group_table mTable;
+    router mRouter;
+    promotion_system mPromotion;
+    std::vector<promotion_command> mCommands;
+    std::vector<pending_report> mReports;
+    std::vector<history_write> mWrites;
+    std::vector<history_write> mDecided;
+    std::vector<pending_read> mReads;
+    instance_set mUnreachable = 0;
+    bool mFrozen = false;
+  };
+
+  void Round(std::uint32_t aChoice);
+  void ProbeLate(history_proxy& aProxy, instance_number aInstance);
+  void DeliverReports(history_proxy& aProxy);
+  void DeliverCommand(history_proxy& aProxy, std::uint32_t aChoice);
+  void Write(history_proxy& aProxy, std::uint32_t aSession);
+  void Read(history_proxy& aProxy, std::uint32_t aSession, bool aAged);
+  void JudgeAll(history_proxy& aProxy);
+  void JudgeWrites(history_proxy& aProxy);
+  void JudgeReads(history_proxy& aProxy);
+  void DeliverAcknowledgements(history_proxy& aProxy);
+  void CheckLeaderHoldsAll();
+  bool CanReach(const history_proxy& aProxy, instance_number aInstance) const;
+  std::uint32_t SessionWithFloor(std::uint32_t aSession) const;
+
+  history_group mGroup;
+  std::vector<history_proxy> mProxies;
+  std::vector<history_write> mAcknowledged;
+  std::vector<log_position> mFloors;
+  std::uint32_t mNextWrite = 1;
+  time_point mNow;
+  history_counts mCounts;
+};
+
+} // namespace catkinloom
--- /dev/null
+++ b/Tests/Processes/test_failover.py
@@ -0,0 +1,103 @@
+"""A primary that dies, freezes, or is cut off is replaced by nobody's order."""
+
+import time
+import unittest
+
+from site_case import SiteCase, get
+
+
+class FailoverTest(SiteCase):
+
+    def test_primary_killed_acknowledged_writes_survive_once(self):
+        keys = [f"k{i}" for i in range(20)]
+        for key in keys:
+            self.assertEqual(self.site.log_fault(0, 0, key).outcome, "done")
+        self.site.kill(self.site.primary(0))
+        after = self.site.log_fault(1, 0, "after", deadline_ms=20000)
+        self.assertEqual(after.outcome, "done")
+        for key in keys + ["after"]:
+            self.assertEqual(self.runs_of(key), 1, key)
+
+    def test_primary_killed_in_platform_outage_is_replaced(self):
+        self.site.admin("platform", outage=True)
+        self.site.kill(self.site.primary(0))
+        after = self.site.log_fault(1, 0, "after", deadline_ms=20000)
+        self.assertEqual(after.outcome, "done")
+
+    def test_primary_frozen_then_thawed_acknowledges_nothing(self):
+        old = self.site.primary(0)
+        self.site.freeze(old)
+        first = self.site.log_fault(0, 0, "first", deadline_ms=20000)
+        second = self.site.log_fault(1, 0, "second", deadline_ms=20000)
+        self.assertEqual(second.outcome, "done")
+        self.assertNotEqual(second.upstream, old)
+        self.site.thaw(old)
+        self.site.until(
+            lambda: len(self.site.log_entries(old)) ==
+            len(self.site.log_entries(second.upstream)), "logs converge")
+        self.assertEqual(self.runs_of("second"), 1)
+        if first.outcome == "done":
+            self.assertEqual(self.runs_of("first"), 1)
+
+    def test_primary_cut_off_believing_it_leads_gets_no_acknowledgement(self):
+        old = self.site.primary(0)
+        self.site.admin(old, isolate=True)
+        answer = self.site.log_fault(0, 0, "cut", deadline_ms=20000)
+        later = self.site.log_fault(1, 0, "later", deadline_ms=20000)
+        self.assertEqual(later.outcome, "done")
+        self.assertNotEqual(later.upstream, old)
+        if answer.outcome == "done":
+            self.assertEqual(self.runs_of("cut"), 1)
+        read = self.site.request(2, 0, "read", [get("fault/later")])
+        self.assertIn("stuck barrier arm", read.body)
+
+    def test_proxy_frozen_across_promotion_acknowledges_nothing_lost(self):
+        # The write is on its way at the old primary when the proxy freezes;
+        # it wakes when another primary leads.
+        old = self.site.primary(0)
+        self.site.admin(old, isolate=True, service_us=300000)
+        thread, results = self.in_background(
+            lambda: self.site.log_fault(0, 0, "w", deadline_ms=20000))
+        time.sleep(0.1)
+        self.site.freeze("proxy-1")
+        later = self.site.log_fault(1, 0, "later", deadline_ms=20000)
+        self.assertEqual(later.outcome, "done")
+        self.site.thaw("proxy-1")
+        thread.join()
+        if results[0].outcome == "done":
+            self.assertEqual(self.runs_of("w"), 1)
+        if results[0].outcome == "not-run":
+            self.assertEqual(self.runs_of("w"), 0)
+
+    def test_new_primary_killed_too_writes_stop_and_come_back(self):
+        first = self.site.primary(0)
+        self.site.kill(first)
+        self.assertEqual(
+            self.site.log_fault(0, 0, "a", deadline_ms=20000).outcome, "done")
+        second = self.site.primary(0)
+        self.site.kill(second)
+        # One of three instances is no majority: nothing may be acknowledged.
+        alone = self.site.log_fault(0, 0, "b", deadline_ms=1500)
+        self.assertNotEqual(alone.outcome, "done")
+        self.site.start_instance(first)
+        # The stand-in keeps no disk: the restarted instance is empty, and the
+        # survivor holds every acknowledged write.
+        back = self.site.log_fault(1, 0, "c", deadline_ms=25000)
+        self.assertEqual(back.outcome, "done")
+        self.assertEqual(self.runs_of("a"), 1)
+
+    def test_leaving_primary_hands_over_and_gets_no_new_work(self):
+        old = self.site.primary(0)
+        self.site.admin("platform", vms=[{"name": old, "state": "leaving"}])
+        self.site.until(lambda: self.site.primary(0) not in ("", old),
+                        "another instance leads")
+        executed = self.site.admin(old)["executions"]
+        for i in range(10):
+            answer = self.site.log_fault(i % 3, 0, f"k{i}", deadline_ms=20000)
+            self.assertEqual(answer.outcome, "done")
+            self.assertNotEqual(answer.upstream, old)
+        self.assertEqual(self.site.admin(old)["executions"], executed)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/Tests/Processes/test_operations.py
@@ -0,0 +1,231 @@
+"""Manifests, drain, the platform's outages, bad input, and the tool."""
+
+import json
+import socket
+import threading
+import time
+import unittest
+
+from site_case import SiteCase, call, get, put
+
+
+class ManifestTest(SiteCase):
+
+    def versions(self, proxies=(0, 1, 2)):
+        return [self.site.status(p).get("manifest_version")
+                for p in proxies]
+
+    def test_accepted_manifest_is_in_force_everywhere(self):
+        self.assertIn("version 2 is in force", self.site.submit("extra"))
+        self.assertEqual(self.versions(), [2, 2, 2])
+
+    def test_racing_operators_one_wins_and_loser_is_told(self):
+        file = self.site.write_manifest("extra")
+        outcomes = []
+
+        def submit(proxy):
+            done = self.site.tool("manifest", "submit", file, "--expect", 1,
+                                  proxy=proxy)
+            outcomes.append((done.returncode, done.stderr))
+
+        threads = [threading.Thread(target=submit, args=(p,))
+                   for p in range(3)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual([code for code, _ in outcomes].count(0), 1, outcomes)
+        for code, text in outcomes:
+            if code != 0:
+                self.assertIn("manifest_conflict", text)
+        self.site.until(lambda: self.versions() == [2, 2, 2], "version 2")
+
+    def test_answer_lost_after_acceptance_is_reported_accepted(self):
+        self.site.admin("platform", lose_answers=1)
+        self.site.write_manifest("extra")
+        done = self.site.tool("manifest", "submit",
+                              self.site.path / "manifest.yaml")
+        # Either the part's or the head's answer was lost; the operator may
+        # have to submit again, but never sees a version twice.
+        if done.returncode != 0:
+            self.site.submit("extra")
+        self.site.until(lambda: len(set(self.versions())) == 1, "one version")
+        self.assertEqual(self.versions()[0], 2)
+
+    def test_proxy_restarted_in_outage_gets_newest_from_peers(self):
+        self.site.submit("extra")
+        self.site.admin("platform", outage=True)
+        self.site.kill("proxy-2")
+        self.site.start_proxy(1)
+        self.site.until(lambda: self.versions([1]) == [2], "version 2 again")
+        answer = self.site.request(1, 0, "extra", [get("a")])
+        self.assertEqual(answer.outcome, "done")
+
+    def test_bad_manifest_replaces_nothing(self):
+        file = self.site.path / "bad.yaml"
+        file.write_text(self.site.manifest_text().replace("slots: 3",
+                                                          "slotz: 3", 1))
+        done = self.site.tool("manifest", "submit", file)
+        self.assertEqual(done.returncode, 1)
+        self.assertRegex(done.stderr,
+                         r"bad.yaml:\d+:\d+: Unknown key 'slotz'. "
+                         r"Did you mean 'slots'\?")
+        self.assertEqual(self.versions(), [1, 1, 1])
+
+
+class OutageTest(SiteCase):
+
+    def test_platform_out_traffic_goes_on(self):
+        self.site.admin("platform", outage=True)
+        for i in range(6):
+            self.assertEqual(
+                self.site.log_fault(i % 3, 0, f"k{i}").outcome, "done")
+
+    def test_platform_garbage_is_an_outage_not_a_crash(self):
+        self.site.admin("platform", garbage=True)
+        time.sleep(1.5)
+        for proxy in range(3):
+            self.assertEqual(
+                self.site.log_fault(proxy, 0, f"k{proxy}").outcome, "done")
+        file = self.site.write_manifest("extra")
+        done = self.site.tool("manifest", "submit", file)
+        self.assertEqual(done.returncode, 1)
+        self.assertIn("platform_unavailable", done.stderr)
+
+
+class DrainTest(SiteCase):
+
+    def test_drain_with_requests_in_flight_cuts_none(self):
+        self.site.admin(self.site.primary(0), service_us=150000)
+        outcomes = []
+
+        def work(worker):
+            answer = self.site.log_fault(0, 0, f"k{worker}",
+                                         deadline_ms=10000)
+            outcomes.append(answer.outcome)
+
+        threads = [threading.Thread(target=work, args=(i,))
+                   for i in range(8)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.1)
+        self.site.terminate("proxy-1")
+        health = call(self.site.operator_port(0), "GET", "/health")
+        for thread in threads:
+            thread.join()
+        self.site.processes["proxy-1"].wait(timeout=30)
+        self.assertEqual(outcomes, ["done"] * 8)
+        self.assertEqual(self.site.processes["proxy-1"].returncode, 0)
+        self.assertEqual(health.status, 503)
+        self.assertIn("requests_cut=0", self.site.log("proxy-1"))
+
+
+class BadInputTest(SiteCase):
+
+    def raw(self, data, wait=10.0):
+        """Sends bytes as they are and returns what comes back."""
+        connection = socket.create_connection(
+            ("127.0.0.1", self.site.caller_port(0)), timeout=wait)
+        with connection:
+            connection.sendall(data)
+            answer = b""
+            try:
+                while chunk := connection.recv(4096):
+                    answer += chunk
+            except OSError:
+                pass
+            return answer.decode()
+
+    def assert_still_serves(self):
+        self.assertEqual(
+            self.site.request(0, 0, "note", [put("a", "b")]).outcome, "done")
+
+    def test_malformed_request_is_refused(self):
+        self.assertIn("bad_request", self.raw(b"NONSENSE\r\n\r\n"))
+        self.assert_still_serves()
+
+    def test_header_too_large_is_refused(self):
+        data = b"GET /v1/a/b HTTP/1.1\r\nX: " + b"x" * 20000 + b"\r\n\r\n"
+        self.assertIn("request_too_large", self.raw(data))
+        self.assert_still_serves()
+
+    def test_body_too_large_is_refused(self):
+        data = (b"POST /v1/a/b HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n")
+        self.assertIn("request_too_large", self.raw(data))
+        self.assert_still_serves()
+
+    def test_header_that_stalls_is_refused_within_its_deadline(self):
+        self.assertIn("header_timeout", self.raw(b"POST /v1/a/b HT", 20.0))
+        self.assert_still_serves()
+
+    def test_unknown_names_are_refused(self):
+        path = f"/v1/{self.site.group_name(0)}/reed"
+        wrong = call(self.site.caller_port(0), "POST", path, "{}")
+        self.assertEqual((wrong.status, wrong.error), (404, "unknown_request"))
+        self.assertIn("Did you mean 'read'?", wrong.body)
+        wrong = call(self.site.caller_port(0), "POST", "/v1/nix/read", "{}")
+        self.assertEqual((wrong.status, wrong.error), (404, "unknown_group"))
+
+    def test_broken_or_absurd_tokens_are_refused_soon(self):
+        name = self.site.group_name(0)
+        broken = self.site.request(0, 0, "read", [get("a")], session="%%%")
+        self.assertEqual(broken.error, "bad_session_token")
+        for token in (f"{name}=1.99999999", f"{name}=99999.1"):
+            for request in ("read", "open-list"):
+                absurd = self.site.request(0, 0, request, [get("a")],
+                                           session=token)
+                self.assertEqual(absurd.error, "session_ahead")
+                self.assertEqual(absurd.outcome, "not-run")
+        self.assert_still_serves()
+
+    def test_statements_that_the_upstream_refuses_are_not_run(self):
+        wrong = self.site.request(0, 0, "note", [{"op": "drop"}])
+        self.assertEqual((wrong.error, wrong.outcome),
+                         ("upstream_refused", "not-run"))
+
+
+class ToolTest(SiteCase):
+
+    def test_mistyped_command_gets_the_nearest(self):
+        done = self.site.tool("manifst", "submit")
+        self.assertEqual(done.returncode, 2)
+        self.assertIn("Did you mean 'manifest submit'?", done.stderr)
+
+    def test_commands_answer_for_people_and_scripts(self):
+        for words in (["status"], ["groups"], ["manifest", "status"],
+                      ["explain", "--group", self.site.group_name(0),
+                       "--request", "open-list", "--session", "new"]):
+            table = self.site.tool(*words)
+            self.assertEqual(table.returncode, 0, table.stderr)
+            document = self.site.tool(*words, "--json")
+            self.assertTrue(json.loads(document.stdout))
+        explained = self.site.tool(
+            "explain", "--group", self.site.group_name(0), "--request",
+            "open-list", "--session", "new", "--json")
+        self.assertEqual(json.loads(explained.stdout)["action"], "replica")
+
+    def test_request_command_sends_and_reports(self):
+        done = self.site.tool(
+            "request", "--caller-port",
+            f"127.0.0.1:{self.site.caller_port(0)}", "--group",
+            self.site.group_name(0), "--request", "log-fault", "--key", "k",
+            "--body", json.dumps({"statements": [put("a", "b")]}), "--json")
+        self.assertEqual(done.returncode, 0, done.stderr)
+        self.assertEqual(json.loads(done.stdout)["outcome"], "done")
+
+    def test_unreachable_daemon_is_its_own_exit_code(self):
+        self.site.kill("proxy-1")
+        self.assertEqual(self.site.tool("status").returncode, 3)
+
+    def test_drain_command_stops_the_daemon(self):
+        self.assertEqual(self.site.tool("drain").returncode, 0)
+        self.assertEqual(self.site.processes["proxy-1"].wait(timeout=30), 0)
+
+    def test_metrics_are_served(self):
+        self.site.log_fault(0, 0, "k")
+        text = call(self.site.operator_port(0), "GET", "/metrics").body
+        self.assertIn('catkinloom_requests_total{outcome="done"} 1', text)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/Tests/Processes/test_outcomes.py
@@ -0,0 +1,135 @@
+"""Requests run at most once, and what a caller is told is true."""
+
+import threading
+import time
+import unittest
+
+from site_case import SiteCase, SiteShape, put
+
+
+class OutcomeTest(SiteCase):
+
+    def test_answer_lost_after_running_is_found_to_have_run(self):
+        self.site.admin(self.site.primary(0), lose_answers=1)
+        answer = self.site.log_fault(0, 0, "k", deadline_ms=20000)
+        self.assertEqual(answer.outcome, "done")
+        self.assertEqual(self.runs_of("k"), 1)
+
+    def test_same_key_through_other_proxies_runs_once(self):
+        for proxy in (0, 1, 2, 0):
+            answer = self.site.log_fault(proxy, 0, "k")
+            self.assertEqual(answer.outcome, "done")
+        self.assertEqual(self.runs_of("k"), 1)
+
+    def test_same_key_at_the_same_time_runs_once(self):
+        threads = [threading.Thread(target=self.site.log_fault,
+                                    args=(i % 3, 0, "k")) for i in range(12)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(self.runs_of("k"), 1)
+
+    def test_proxy_killed_with_write_in_flight_runs_once(self):
+        self.site.admin(self.site.primary(0), service_us=300000)
+        thread, results = self.in_background(
+            lambda: self.site.log_fault(0, 0, "k"))
+        time.sleep(0.1)
+        self.site.kill("proxy-1")
+        thread.join()
+        self.assertEqual(results[0].status, 0)
+        again = self.site.log_fault(1, 0, "k", deadline_ms=20000)
+        self.assertEqual(again.outcome, "done")
+        self.site.admin(self.site.primary(0, 1), service_us=0)
+        self.assertEqual(self.runs_of("k"), 1)
+
+    def test_not_repeatable_without_key_is_refused(self):
+        answer = self.site.request(0, 0, "log-fault", [put("a", "b")])
+        self.assertEqual(answer.error, "idempotency_key_required")
+        self.assertEqual(answer.outcome, "not-run")
+
+    def test_kills_under_load_outcomes_told_are_true(self):
+        told = {}
+        stop = threading.Event()
+
+        def file_reports(worker):
+            count = 0
+            while not stop.is_set():
+                key = f"w{worker}-{count}"
+                count += 1
+                answer = self.site.log_fault(worker % 3, 0, key,
+                                             deadline_ms=4000)
+                told[key] = answer.outcome
+
+        threads = [threading.Thread(target=file_reports, args=(i,))
+                   for i in range(6)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.5)
+        self.site.admin(self.site.primary(0), lose_answers=3)
+        time.sleep(0.5)
+        self.site.admin(self.site.primary(0), silence=True)
+        time.sleep(0.5)
+        self.site.kill(self.site.primary(0))
+        time.sleep(1.5)
+        self.site.kill("proxy-3")
+        time.sleep(0.5)
+        stop.set()
+        for thread in threads:
+            thread.join()
+        primary = self.site.primary(0)
+        keys = [entry["idempotency_key"]
+                for entry in self.site.log_entries(primary)]
+        self.assertGreater(list(told.values()).count("done"), 50)
+        for key, outcome in told.items():
+            runs = keys.count(key)
+            self.assertLessEqual(runs, 1, key)
+            if outcome == "done":
+                self.assertEqual(runs, 1, key)
+            if outcome == "not-run":
+                self.assertEqual(runs, 0, key)
+
+
+class ConnectionTest(SiteCase):
+
+    shape = SiteShape(groups=1, proxies=4)
+
+    def test_connections_under_load_stay_within_limit_and_clean(self):
+        statements = [{"op": "set", "name": "x"}, put("a", "b")]
+
+        def work(worker):
+            for i in range(40):
+                self.site.request(worker % 4, 0, "note", statements)
+
+        threads = [threading.Thread(target=work, args=(i,))
+                   for i in range(24)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.2)
+        primary = self.site.primary(0)
+        self.site.admin(primary, fail_resets=5)
+        self.site.kill("proxy-4")
+        self.site.start_proxy(3)
+        for thread in threads:
+            thread.join()
+        state = self.site.admin(primary)
+        self.assertEqual(state["refused_connections"], 0)
+        self.assertEqual(state["dirty_uses"], 0)
+        self.assertLessEqual(state["peak_connections"], 20)
+        self.assertGreater(state["executions"], 500)
+
+    def test_silent_connections_requests_go_on_over_new_ones(self):
+        for proxy in range(4):
+            for i in range(8):
+                self.site.request(proxy, 0, "note", [put("a", str(i))])
+        primary = self.site.primary(0)
+        self.site.admin(primary, silence=True)
+        for proxy in range(4):
+            answer = self.site.log_fault(proxy, 0, f"k{proxy}",
+                                         deadline_ms=20000)
+            self.assertEqual(answer.outcome, "done")
+        self.assertEqual(self.site.admin(primary)["refused_connections"], 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
