promotion: do not choose the primary that its replicas lost

Cause: the process test of a cut-off primary saw writes end as unknown for as long as the cut lasted. The log shows why: the proxy reaches the old primary, its replicas do not; it grants each fence, has the longest log, is promoted again (terms 2 to 16 in 6 s) and can confirm nothing. Ruled out: a wrong detection (replicas reported their silence rightly), a lost order (all were answered). Change: the lost primary is avoided when a majority without it granted the term; such a majority holds every confirmed write. The same rule serves instances that are leaving. cut_off_primary_is_not_chosen_again failed first.

--- a/Source/Decisions/clGroupTable.h
+++ b/Source/Decisions/clGroupTable.h
@@ -20,6 +20,9 @@
 /// Number of an instance within its group.
 using instance_number = std::uint32_t;
 
+/// Set of instances of one group, one bit each.
+using instance_set = std::uint32_t;
+
 /// Most instances that one group may have.
 constexpr std::size_t kMaxInstancesPerGroup = 9;
 
--- a/Source/Decisions/clPromotionSystem.cxx
+++ b/Source/Decisions/clPromotionSystem.cxx
@@ -9,35 +9,29 @@
 using log_grants = std::vector<std::optional<log_position>>;
 
 bool
-Counts(const group_row& aGroup,
-       const log_grants& aGrants,
+Counts(const log_grants& aGrants,
        instance_number aInstance,
-       bool aCountLeaving)
+       instance_set aAvoided)
 {
-  const bool leaving = aGroup.mInstances[aInstance].mLeaving;
-  return aGrants[aInstance].has_value() && (aCountLeaving || !leaving);
+  return aGrants[aInstance].has_value() && (aAvoided >> aInstance & 1U) == 0;
 }
 
 std::size_t
-CountGrants(const group_row& aGroup,
-            const log_grants& aGrants,
-            bool aCountLeaving)
+CountGrants(const log_grants& aGrants, instance_set aAvoided)
 {
   std::size_t count = 0;
   for (instance_number i = 0; i < aGrants.size(); ++i) {
-    count += Counts(aGroup, aGrants, i, aCountLeaving) ? 1 : 0;
+    count += Counts(aGrants, i, aAvoided) ? 1 : 0;
   }
   return count;
 }
 
 instance_number
-LongestLog(const group_row& aGroup,
-           const log_grants& aGrants,
-           bool aCountLeaving)
+LongestLog(const log_grants& aGrants, instance_set aAvoided)
 {
   std::optional<instance_number> best;
   for (instance_number i = 0; i < aGrants.size(); ++i) {
-    if (!Counts(aGroup, aGrants, i, aCountLeaving)) {
+    if (!Counts(aGrants, i, aAvoided)) {
       continue;
     }
     if (!best || *aGrants[i] > *aGrants[*best]) {
@@ -123,6 +117,7 @@
   const group_row& group = aTable.Group(aGroup);
   if (!IsPrimaryLost(group, aNow)) {
     aRow.mLostSince.reset();
+    aRow.mAvoided = 0;
     Repair(group, aGroup, aRow, aRank, aNow, aCommands);
     return;
   }
@@ -186,7 +181,11 @@
   aRow.mSince = aNow;
   aRow.mFencedAt.reset();
   std::fill(aRow.mGrants.begin(), aRow.mGrants.end(), std::nullopt);
+  if (const auto lost = PrimaryOf(aGroup)) {
+    aRow.mAvoided |= 1U << *lost;
+  }
   for (instance_number i = 0; i < aGroup.mInstances.size(); ++i) {
+    aRow.mAvoided |= aGroup.mInstances[i].mLeaving ? 1U << i : 0;
     aCommands.push_back(
       { promotion_verb::Fence, aNumber, i, aRow.mTerm, aRow.mOwner });
   }
@@ -208,18 +207,18 @@
   const bool permitsCount = aGroup.mAcknowledge == acknowledge_policy::Primary;
   milliseconds wait =
     permitsCount ? mSettings.mTermPermit * 11 / 10 : milliseconds(0);
-  // A majority without the leaving instances holds every confirmed write, so
-  // one of them can lead.  Only when there is none must a leaving one.
-  const bool countLeaving =
-    CountGrants(aGroup, aRow.mGrants, false) < aGroup.Majority();
-  if (countLeaving) {
+  // A majority without the instances to avoid holds every confirmed write, so
+  // one of them can lead.  Only when there is none must an avoided one.
+  const bool mustTakeAny =
+    CountGrants(aRow.mGrants, aRow.mAvoided) < aGroup.Majority();
+  if (mustTakeAny) {
     wait = std::max(wait, mSettings.mAttemptTimeout / 2);
   }
   if (aNow < *aRow.mFencedAt + wait) {
     return;
   }
   aRow.mPhase = promotion_phase::Promoting;
-  aRow.mChosen = LongestLog(aGroup, aRow.mGrants, countLeaving);
+  aRow.mChosen = LongestLog(aRow.mGrants, mustTakeAny ? 0 : aRow.mAvoided);
   aCommands.push_back({ promotion_verb::Promote,
                         aNumber,
                         aRow.mChosen,
@@ -245,7 +244,7 @@
   }
   if (aCommand.mVerb == promotion_verb::Fence) {
     row.mGrants[aCommand.mInstance] = aAnswer.mReport.mLog;
-    if (!row.mFencedAt && CountGrants(group, row.mGrants, true) >= group.Majority()) {
+    if (!row.mFencedAt && CountGrants(row.mGrants, 0) >= group.Majority()) {
       row.mFencedAt = aNow;
     }
     PromoteWhenFenced(group, aCommand.mGroup, row, aNow, aCommands);
--- a/Source/Decisions/clPromotionSystem.h
+++ b/Source/Decisions/clPromotionSystem.h
@@ -114,6 +114,9 @@
     /// Term that was highest when the loss was first seen.
     term_number mLostTerm = 0;
     std::vector<std::optional<log_position>> mGrants;
+    /// Instances that should not lead: the lost primary, which its replicas
+    /// cannot reach although this proxy may, and those that are leaving.
+    instance_set mAvoided = 0;
     std::vector<time_point> mRepairedAt;
     instance_number mChosen = 0;
   };
--- a/Source/Decisions/clRouter.h
+++ b/Source/Decisions/clRouter.h
@@ -6,9 +6,6 @@
 
 namespace catkinloom {
 
-/// Set of instances of one group, one bit each.
-using instance_set = std::uint32_t;
-
 /// What a read asks of the instance that serves it.
 struct read_need
 {
--- a/Tests/Decisions/clPromotionSystemTest.cxx
+++ b/Tests/Decisions/clPromotionSystemTest.cxx
@@ -178,6 +178,22 @@
   CHECK(commands[0].mTerm == 2);
 }
 
+TEST_CASE_FIXTURE(promotion_fixture, "cut_off_primary_is_not_chosen_again")
+{
+  // This proxy reaches the old primary, its replicas do not: with the longest
+  // log it would win every promotion and confirm nothing in any of them.
+  Replica(1, { 1, 50 }, milliseconds(400), 500);
+  Replica(2, { 1, 40 }, milliseconds(400), 500);
+  mTable.Record(0, 0, ReportOf(1, { 1, 70 }, true), At(500));
+  const auto fences = Tick(510);
+  REQUIRE(fences.size() == 3);
+  CHECK(Answer(fences[0], true, ReportOf(2, { 1, 70 }, false), 512).empty());
+  CHECK(Answer(fences[2], true, ReportOf(2, { 1, 40 }, false), 514).empty());
+  const auto next = Answer(fences[1], true, ReportOf(2, { 1, 50 }, false), 516);
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].mInstance == 1);
+}
+
 TEST_CASE_FIXTURE(promotion_fixture, "leaving_primary_hands_over_to_one_staying")
 {
   mTable.Group(0).mInstances[0].mLeaving = true;
