write: tell a caller the truth about an uncertain write, soon

Cause: with connections gone silent, a filing ended as unknown after its whole deadline (process test, 20 s), because nothing proved whether it had run. Ruled out: sending it again (it may run twice); trusting a time-out (the instance may still be working on it). Change: the proxy asks the instance to end the connection until it confirms that nothing runs on it, then looks the idempotency key up at a primary whose log a majority holds: found is done, absent is proven not run. In a later term absence alone proves it, once a majority holds that term's log. A stalled header is now answered: the stream's own timer closed the socket. Process tests ask for the log at a primary that every live proxy names, and repeat a filing as a caller does; each outcome told is checked against the log.

--- a/Source/Daemon/clReadService.cxx
+++ b/Source/Daemon/clReadService.cxx
@@ -163,10 +163,10 @@
     return attempt_end::GiveUp;
   }
   aAttempt.mAnswer.mBody = std::move(aAnswer.mResponse.body());
-  return JudgeState(aRequest,
-                    aAttempt,
-                    { TermOfAnswer(aAnswer.mResponse),
-                      LogOfAnswer(aAnswer.mResponse) });
+  return JudgeState(
+    aRequest,
+    aAttempt,
+    { TermOfAnswer(aAnswer.mResponse), LogOfAnswer(aAnswer.mResponse) });
 }
 
 read_service::attempt_end
--- a/Source/Daemon/clUpstreamControl.cxx
+++ b/Source/Daemon/clUpstreamControl.cxx
@@ -3,6 +3,8 @@
 #include "clLog.h"
 #include "clUpstreamMessages.h"
 
+#include <algorithm>
+
 namespace catkinloom {
 
 namespace {
@@ -12,9 +14,23 @@
 
 constexpr milliseconds kFirstBackOff{ 20 };
 
+/// Pause before the instance is asked again to end a connection.
+constexpr milliseconds kKillPause{ 20 };
+
+/// Ended connections that may still be asked about.
+constexpr std::size_t kEndedRemembered = 256;
+
 /// Bytes around a body on the wire, for the count of control traffic.
 constexpr std::size_t kMessageOverhead = 160;
 
+/// The name of a connection as part of a request target.
+std::string
+Escaped(std::string aName)
+{
+  const std::size_t mark = aName.find('#');
+  return mark == std::string::npos ? aName : aName.replace(mark, 1, "%23");
+}
+
 } // namespace
 
 upstream_control::upstream_control(proxy_state& aState,
@@ -164,16 +180,32 @@
 void
 upstream_control::SendKills()
 {
-  while (!mKills.empty() && mConnection.IsOpen()) {
+  std::deque<std::string> kills;
+  kills.swap(mKills);
+  while (!kills.empty() && mConnection.IsOpen()) {
+    const std::string name = std::move(kills.front());
+    kills.pop_front();
     http_request request =
-      MakeRequest(http::verb::post, "/kill?connection=" + mKills.front());
-    // A '#' would end the target; it travels escaped.
-    std::string target(request.target().data(), request.target().size());
-    target.replace(target.find('#'), 1, "%23");
-    request.target({ target.data(), target.size() });
-    mKills.pop_front();
-    Exchange(request, mState.mSettings.mTiming.mProbeTimeout);
+      MakeRequest(http::verb::post, "/kill?connection=" + Escaped(name));
+    const exchange_result outcome =
+      Exchange(request, mState.mSettings.mTiming.mProbeTimeout);
+    if (!outcome.IsOk() || !DecodeEnded(outcome.mResponse)) {
+      mKills.push_back(name);
+      continue;
+    }
+    mEnded.push_back(name);
+    if (mEnded.size() > kEndedRemembered) {
+      mEnded.pop_front();
+    }
+    mState.SignalOf(mGroup).Raise();
   }
+  mKills.insert(mKills.end(), kills.begin(), kills.end());
+}
+
+bool
+upstream_control::HasEnded(const std::string& aConnection) const
+{
+  return std::find(mEnded.begin(), mEnded.end(), aConnection) != mEnded.end();
 }
 
 bool
@@ -256,8 +288,11 @@
   if (mStopped || !mOrders.empty()) {
     return;
   }
-  const milliseconds pause =
+  milliseconds pause =
     mFailing ? mBackOff : mState.mSettings.mTiming.mProbeInterval;
+  if (!mKills.empty()) {
+    pause = std::min(pause, kKillPause);
+  }
   mWake.WaitUntil(mState.Now() + pause);
 }
 
--- a/Source/Daemon/clUpstreamControl.h
+++ b/Source/Daemon/clUpstreamControl.h
@@ -41,9 +41,13 @@
   /// Sends an order before the next question.
   void Order(promotion_command aCommand, std::string aLeader);
 
-  /// Asks the instance to drop a connection that went silent.
+  /// Asks the instance to end a connection whose outcome is uncertain, again
+  /// and again until it says that nothing runs on it any more.
   void Kill(const std::string& aConnection);
 
+  /// The instance has confirmed that the connection has ended.
+  bool HasEnded(const std::string& aConnection) const;
+
 private:
   struct pending_order
   {
@@ -71,6 +75,8 @@
   order_handler mOnOrder;
   std::deque<pending_order> mOrders;
   std::deque<std::string> mKills;
+  /// Latest connections that the instance confirmed to have ended.
+  std::deque<std::string> mEnded;
   term_number mWantedTerm = 0;
   log_position mWanted;
   time_point mWantedUntil;
--- a/Source/Daemon/clUpstreamDirectory.cxx
+++ b/Source/Daemon/clUpstreamDirectory.cxx
@@ -126,11 +126,30 @@
 upstream_directory::AwaitWrite(group_row_number aGroup,
                                const answer_evidence& aEvidence,
                                time_point aDeadline)
+{
+  return AwaitVerdict(aGroup, aEvidence, aDeadline, [&](const group_row& aRow) {
+    return JudgeWrite(mState.mRouter, aRow, aEvidence, mState.Now());
+  });
+}
+
+write_verdict
+upstream_directory::AwaitMajority(group_row_number aGroup,
+                                  const answer_evidence& aEvidence,
+                                  time_point aDeadline)
+{
+  return AwaitVerdict(aGroup, aEvidence, aDeadline, [&](const group_row& aRow) {
+    return JudgeMajority(aRow, aEvidence);
+  });
+}
+
+write_verdict
+upstream_directory::AwaitVerdict(group_row_number aGroup,
+                                 const answer_evidence& aEvidence,
+                                 time_point aDeadline,
+                                 const write_judge& aJudge)
 {
   while (true) {
-    const group_row& group = mState.mGroups.Group(aGroup);
-    const write_verdict verdict =
-      JudgeWrite(mState.mRouter, group, aEvidence, mState.Now());
+    const write_verdict verdict = aJudge(mState.mGroups.Group(aGroup));
     if (verdict != write_verdict::KeepWaiting) {
       return verdict;
     }
@@ -138,12 +157,7 @@
       return write_verdict::Uncertain;
     }
     for (const auto& link : mLinks[aGroup]) {
-      if (group.mAcknowledge == acknowledge_policy::Confirmed) {
-        link->mControl->WantPosition(
-          aEvidence.mTerm, aEvidence.mLog, aDeadline);
-      } else {
-        link->mControl->WantFresh(mState.Now());
-      }
+      link->mControl->WantPosition(aEvidence.mTerm, aEvidence.mLog, aDeadline);
     }
     mState.SignalOf(aGroup).WaitUntil(aDeadline);
   }
--- a/Source/Daemon/clUpstreamDirectory.h
+++ b/Source/Daemon/clUpstreamDirectory.h
@@ -5,6 +5,7 @@
 #include "clUpstreamControl.h"
 #include "clUpstreamPool.h"
 
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -41,6 +42,11 @@
                            const answer_evidence& aEvidence,
                            time_point aDeadline);
 
+  /// The same for a majority, whatever the group's policy.
+  write_verdict AwaitMajority(group_row_number aGroup,
+                              const answer_evidence& aEvidence,
+                              time_point aDeadline);
+
   /// Waits for news of a majority's term since aSince, or the deadline.
   void AskTerm(group_row_number aGroup,
                time_point aSince,
@@ -49,6 +55,13 @@
   void Stop();
 
 private:
+  using write_judge = std::function<write_verdict(const group_row&)>;
+
+  write_verdict AwaitVerdict(group_row_number aGroup,
+                             const answer_evidence& aEvidence,
+                             time_point aDeadline,
+                             const write_judge& aJudge);
+
   using link_list = std::vector<std::shared_ptr<upstream_link>>;
 
   std::shared_ptr<upstream_link> Open(group_row_number aGroup,
--- a/Source/Daemon/clUpstreamExchange.cxx
+++ b/Source/Daemon/clUpstreamExchange.cxx
@@ -103,6 +103,7 @@
   }
   std::unique_ptr<upstream_connection> connection = std::move(acquired.value());
   SetHeader(aRequest, header::kClient, connection->mName);
+  answer.mConnection = connection->mName;
   answer.mSentAt = aState.Now();
   CountInFlight(aState, aLink, aGroup, 1);
   exchange_result outcome = connection->mHttp.Exchange(
--- a/Source/Daemon/clUpstreamExchange.h
+++ b/Source/Daemon/clUpstreamExchange.h
@@ -27,6 +27,8 @@
   http_response mResponse;
   std::string mDetail;
   time_point mSentAt;
+  /// Name of the connection that carried the request.
+  std::string mConnection;
 };
 
 /// Sends a request to an instance over one of its pooled connections, and
--- a/Source/Daemon/clUpstreamMessages.cxx
+++ b/Source/Daemon/clUpstreamMessages.cxx
@@ -34,6 +34,18 @@
   return !code;
 }
 
+bool
+IsFlagSet(const http_response& aResponse, std::string_view aName)
+{
+  boost::json::error_code code;
+  const boost::json::value body = boost::json::parse(aResponse.body(), code);
+  if (code || !body.is_object()) {
+    return false;
+  }
+  const auto* flag = body.get_object().if_contains(aName);
+  return flag != nullptr && flag->is_bool() && flag->get_bool();
+}
+
 } // namespace
 
 result<instance_report>
@@ -70,13 +82,13 @@
 bool
 DecodeGranted(const http_response& aResponse)
 {
-  boost::json::error_code code;
-  const boost::json::value body = boost::json::parse(aResponse.body(), code);
-  if (code || !body.is_object()) {
-    return false;
-  }
-  const auto* granted = body.get_object().if_contains("granted");
-  return granted != nullptr && granted->is_bool() && granted->get_bool();
+  return IsFlagSet(aResponse, "granted");
+}
+
+bool
+DecodeEnded(const http_response& aResponse)
+{
+  return IsFlagSet(aResponse, "ended");
 }
 
 term_number
--- a/Source/Daemon/clUpstreamMessages.h
+++ b/Source/Daemon/clUpstreamMessages.h
@@ -15,6 +15,10 @@
 bool
 DecodeGranted(const http_response& aResponse);
 
+/// True when the instance says that a connection has ended for good.
+bool
+DecodeEnded(const http_response& aResponse);
+
 /// Term that a data answer was given under; zero when it names none.
 term_number
 TermOfAnswer(const http_response& aResponse);
--- a/Source/Daemon/clWriteService.cxx
+++ b/Source/Daemon/clWriteService.cxx
@@ -68,28 +68,25 @@
     Wait(aRequest);
     return std::nullopt;
   }
-  const std::string instance = link->mInstance.mName;
   Log(log_level::Decision,
       "route",
       "Write placed. group={} request={} instance={} term={} reason={}",
       aRequest.mGroupName,
       aRequest.mDeclared.mName,
-      instance,
+      link->mInstance.mName,
       decision.mTerm,
       ReasonName(decision.mReason));
   http_request request = EncodeExecute(aRequest);
-  const time_point deadline =
-    std::min(aRequest.mDeadline,
-             mState.Now() + mState.mSettings.mTiming.mAttemptTimeout);
-  upstream_answer answer = SendToUpstream(
-    mState, *link, aRequest.mGroup, aRequest.mCaller, request, deadline);
+  upstream_answer answer = Send(aRequest, *link, request);
   switch (answer.mEnd) {
     case exchange_end::Answered:
-      return OnAnswer(aRequest, decision, instance, answer);
+      return OnAnswer(aRequest, decision, *link, answer);
     case exchange_end::Refused:
       return NotRun(error_kind::Overloaded, answer.mDetail);
     case exchange_end::Uncertain:
-      return OnUncertain(aRequest, answer.mDetail);
+      return OnUncertain(
+        aRequest,
+        { answer.mDetail, decision.mTerm, answer.mConnection, link->mControl });
     case exchange_end::NoConnection:
     case exchange_end::NotSent:
       Wait(aRequest);
@@ -98,19 +95,28 @@
   return std::nullopt;
 }
 
+upstream_answer
+write_service::Send(const caller_request& aRequest,
+                    upstream_link& aLink,
+                    http_request& aMessage)
+{
+  const time_point deadline =
+    std::min(aRequest.mDeadline,
+             mState.Now() + mState.mSettings.mTiming.mAttemptTimeout);
+  return SendToUpstream(
+    mState, aLink, aRequest.mGroup, aRequest.mCaller, aMessage, deadline);
+}
+
 write_service::attempt_result
 write_service::OnAnswer(caller_request& aRequest,
                         const route_decision& aDecision,
-                        const std::string& aInstance,
+                        upstream_link& aLink,
                         upstream_answer& aAnswer)
 {
   const unsigned status = aAnswer.mResponse.result_int();
   if (status == 421 || status == 503) {
     // The instance refused before running anything.
-    upstream_link* link = mDirectory.Find(aRequest.mGroup, aDecision.mInstance);
-    if (link != nullptr) {
-      link->mControl->WantFresh(mState.Now());
-    }
+    aLink.mControl->WantFresh(mState.Now());
     Wait(aRequest);
     return std::nullopt;
   }
@@ -118,32 +124,42 @@
     return NotRun(error_kind::UpstreamRefused, aAnswer.mResponse.body());
   }
   if (status != 200) {
-    return OnUncertain(aRequest, "The upstream failed on the request");
+    return OnUncertain(aRequest,
+                       { "The upstream failed on the request",
+                         aDecision.mTerm,
+                         aAnswer.mConnection,
+                         aLink.mControl });
   }
-  return Acknowledge(aRequest, aDecision, aInstance, aAnswer);
+  return Acknowledge(aRequest, aDecision, aLink, aAnswer);
 }
 
 write_service::attempt_result
 write_service::Acknowledge(caller_request& aRequest,
                            const route_decision& aDecision,
-                           const std::string& aInstance,
+                           upstream_link& aLink,
                            upstream_answer& aAnswer)
 {
   const term_number term = TermOfAnswer(aAnswer.mResponse);
   const log_position position = LogOfAnswer(aAnswer.mResponse);
+  const std::string instance = aLink.mInstance.mName;
+  const std::shared_ptr<upstream_control> control = aLink.mControl;
   const bool sameTerm = term == aDecision.mTerm;
   if (!sameTerm || !IsAcknowledged(aRequest, { term, position })) {
     Log(log_level::Warning,
         "write",
         "Write not confirmed. group={} instance={} term={} index={}",
         aRequest.mGroupName,
-        aInstance,
+        instance,
         term,
         position.mIndex);
-    return OnUncertain(aRequest, "No majority of the group confirmed it");
+    return OnUncertain(aRequest,
+                       { "No majority of the group confirmed it",
+                         term,
+                         aAnswer.mConnection,
+                         control });
   }
   aRequest.mSession.Raise(aRequest.mGroupName, position);
-  return caller_answer{ std::move(aAnswer.mResponse.body()), aInstance };
+  return caller_answer{ std::move(aAnswer.mResponse.body()), instance };
 }
 
 bool
@@ -156,7 +172,8 @@
 }
 
 write_service::attempt_result
-write_service::OnUncertain(caller_request& aRequest, const std::string& aDetail)
+write_service::OnUncertain(caller_request& aRequest,
+                           const uncertain_request& aUncertain)
 {
   const bool mayRepeat = aRequest.mDeclared.mRepeatable &&
                          mState.Now() < aRequest.mDeadline &&
@@ -166,60 +183,97 @@
     Wait(aRequest);
     return std::nullopt;
   }
-  return Resolve(aRequest, aDetail);
+  return Resolve(aRequest, aUncertain);
 }
 
 caller_result
-write_service::Resolve(caller_request& aRequest, const std::string& aDetail)
+write_service::Resolve(caller_request& aRequest,
+                       const uncertain_request& aUncertain)
 {
   while (!aRequest.mIdempotencyKey.empty() &&
          mState.Now() < aRequest.mDeadline) {
-    if (auto answer = LookUp(aRequest)) {
-      mState.mMetrics.mOutcomesResolved.Increment();
-      return std::move(*answer);
+    caller_answer answer;
+    switch (LookUp(aRequest, aUncertain, answer)) {
+      case look_up_end::Found:
+        mState.mMetrics.mOutcomesResolved.Increment();
+        return answer;
+      case look_up_end::NeverRan:
+        mState.mMetrics.mOutcomesResolved.Increment();
+        return NotRun(error_kind::UpstreamUnreachable,
+                      aUncertain.mDetail +
+                        ". The request was proven not to have run; send it "
+                        "again.");
+      case look_up_end::NotKnownYet:
+        Wait(aRequest);
+        break;
     }
-    Wait(aRequest);
   }
   return caller_failure{
     { error_kind::OutcomeUnknown,
-      aDetail + ". The request may have run. Send it again with the same "
-                "Idempotency-Key to learn its outcome." },
+      aUncertain.mDetail +
+        ". The request may have run. Send it again with the same "
+        "Idempotency-Key to learn its outcome." },
     request_outcome::Unknown
   };
 }
 
-std::optional<caller_answer>
-write_service::LookUp(caller_request& aRequest)
+write_service::look_up_end
+write_service::LookUp(caller_request& aRequest,
+                      const uncertain_request& aUncertain,
+                      caller_answer& aAnswer)
 {
   const route_decision decision = mState.mRouter.DecideWrite(
     mState.mGroups.Group(aRequest.mGroup), mState.Now());
   upstream_link* link = mDirectory.Find(aRequest.mGroup, decision.mInstance);
   if (decision.mAction == route_action::Wait || link == nullptr) {
-    return std::nullopt;
+    return look_up_end::NotKnownYet;
   }
-  const std::string instance = link->mInstance.mName;
+  aAnswer.mInstance = link->mInstance.mName;
+  // In the term under which it was sent, the request may still run as long as
+  // its connection lives.  In a later term the old primary can add nothing.
+  const bool canStillRun =
+    decision.mTerm <= aUncertain.mTerm &&
+    !aUncertain.mControl->HasEnded(aUncertain.mConnection);
   http_request request = MakeRequest(
     http::verb::get, "/outcome?key=" + EscapeQuery(aRequest.mIdempotencyKey));
-  const time_point deadline =
-    std::min(aRequest.mDeadline,
-             mState.Now() + mState.mSettings.mTiming.mAttemptTimeout);
-  upstream_answer answer = SendToUpstream(
-    mState, *link, aRequest.mGroup, aRequest.mCaller, request, deadline);
-  const bool found = answer.mEnd == exchange_end::Answered &&
-                     answer.mResponse.result_int() == 200;
+  const upstream_answer answer = Send(aRequest, *link, request);
+  const unsigned status = answer.mResponse.result_int();
+  const bool answered = answer.mEnd == exchange_end::Answered &&
+                        (status == 200 || status == 404) &&
+                        TermOfAnswer(answer.mResponse) == decision.mTerm;
   const log_position position = LogOfAnswer(answer.mResponse);
-  if (!found || TermOfAnswer(answer.mResponse) != decision.mTerm ||
-      !IsAcknowledged(aRequest, { decision.mTerm, position })) {
-    return std::nullopt;
+  const bool isAbsent = status == 404;
+  if (!answered || (isAbsent && canStillRun)) {
+    return look_up_end::NotKnownYet;
+  }
+  // Found or absent, it counts only on a log that a majority holds: then no
+  // later primary can have another one up to there.
+  const answer_evidence evidence{ decision.mTerm, position };
+  if (!IsConfirmedNow(aRequest, evidence)) {
+    return look_up_end::NotKnownYet;
   }
   Log(log_level::Info,
       "write",
-      "Uncertain write had run. group={} key={} instance={}",
+      "Uncertain write resolved. group={} key={} instance={} ran={}",
       aRequest.mGroupName,
       aRequest.mIdempotencyKey,
-      instance);
+      aAnswer.mInstance,
+      !isAbsent);
+  if (isAbsent) {
+    return look_up_end::NeverRan;
+  }
   aRequest.mSession.Raise(aRequest.mGroupName, position);
-  return caller_answer{ std::move(answer.mResponse.body()), instance };
+  aAnswer.mBody = answer.mResponse.body();
+  return look_up_end::Found;
+}
+
+bool
+write_service::IsConfirmedNow(const caller_request& aRequest,
+                              const answer_evidence& aEvidence)
+{
+  return mDirectory.AwaitMajority(
+           aRequest.mGroup, aEvidence, aRequest.mDeadline) ==
+         write_verdict::Acknowledge;
 }
 
 } // namespace catkinloom
--- a/Source/Daemon/clWriteService.h
+++ b/Source/Daemon/clWriteService.h
@@ -28,18 +28,46 @@
   attempt_result Try(caller_request& aRequest);
   attempt_result OnAnswer(caller_request& aRequest,
                           const route_decision& aDecision,
-                          const std::string& aInstance,
+                          upstream_link& aLink,
                           upstream_answer& aAnswer);
   attempt_result Acknowledge(caller_request& aRequest,
                              const route_decision& aDecision,
-                             const std::string& aInstance,
+                             upstream_link& aLink,
                              upstream_answer& aAnswer);
+  /// Where an uncertain request went.
+  struct uncertain_request
+  {
+    std::string mDetail;
+    term_number mTerm = 0;
+    std::string mConnection;
+    /// Asked whether the connection has ended.
+    std::shared_ptr<upstream_control> mControl;
+  };
+
+  /// What the group's log says about a request.
+  enum class look_up_end
+  {
+    Found,
+    /// It is not there, and can never come to be there.
+    NeverRan,
+    NotKnownYet,
+  };
+
   attempt_result OnUncertain(caller_request& aRequest,
-                             const std::string& aDetail);
-  caller_result Resolve(caller_request& aRequest, const std::string& aDetail);
-  std::optional<caller_answer> LookUp(caller_request& aRequest);
+                             const uncertain_request& aUncertain);
+  caller_result Resolve(caller_request& aRequest,
+                        const uncertain_request& aUncertain);
+  look_up_end LookUp(caller_request& aRequest,
+                     const uncertain_request& aUncertain,
+                     caller_answer& aAnswer);
   bool IsAcknowledged(const caller_request& aRequest,
                       const answer_evidence& aEvidence);
+  /// A majority holds the log up to there, whatever the group's policy.
+  bool IsConfirmedNow(const caller_request& aRequest,
+                      const answer_evidence& aEvidence);
+  upstream_answer Send(const caller_request& aRequest,
+                       upstream_link& aLink,
+                       http_request& aMessage);
   void Wait(const caller_request& aRequest);
 
   proxy_state& mState;
--- a/Source/Decisions/clAnswerJudge.cxx
+++ b/Source/Decisions/clAnswerJudge.cxx
@@ -26,22 +26,27 @@
 } // namespace
 
 write_verdict
-JudgeWrite(const router& aRouter,
-           const group_row& aGroup,
-           const answer_evidence& aEvidence,
-           time_point aNow)
+JudgeMajority(const group_row& aGroup, const answer_evidence& aEvidence)
 {
-  const bool byMajority = aGroup.mAcknowledge == acknowledge_policy::Confirmed;
-  const bool certain =
-    byMajority ? IsConfirmed(aGroup, aEvidence.mTerm, aEvidence.mLog)
-               : aRouter.HoldsPermit(aGroup, aEvidence.mTerm, aNow);
-  if (certain) {
+  if (IsConfirmed(aGroup, aEvidence.mTerm, aEvidence.mLog)) {
     return write_verdict::Acknowledge;
   }
   return HighestTerm(aGroup) > aEvidence.mTerm ? write_verdict::Uncertain
                                                : write_verdict::KeepWaiting;
 }
 
+write_verdict
+JudgeWrite(const router& aRouter,
+           const group_row& aGroup,
+           const answer_evidence& aEvidence,
+           time_point aNow)
+{
+  const bool byPermit = aGroup.mAcknowledge == acknowledge_policy::Primary &&
+                        aRouter.HoldsPermit(aGroup, aEvidence.mTerm, aNow);
+  return byPermit ? write_verdict::Acknowledge
+                  : JudgeMajority(aGroup, aEvidence);
+}
+
 read_verdict
 JudgeRead(const router& aRouter,
           const group_row& aGroup,
--- a/Source/Decisions/clAnswerJudge.h
+++ b/Source/Decisions/clAnswerJudge.h
@@ -38,19 +38,25 @@
 };
 
 /// Judges a write's answer under the group's acknowledge policy.
-write_verdict JudgeWrite(const router& aRouter,
-                         const group_row& aGroup,
-                         const answer_evidence& aEvidence,
-                         time_point aNow);
+write_verdict
+JudgeWrite(const router& aRouter,
+           const group_row& aGroup,
+           const answer_evidence& aEvidence,
+           time_point aNow);
+
+/// Judges whether a majority holds the log up to the evidence.
+write_verdict
+JudgeMajority(const group_row& aGroup, const answer_evidence& aEvidence);
 
 /// Judges a read's answer against its need.  aArrivedAt is when the caller's
 /// request came: current data must be proven current since then.
-read_verdict JudgeRead(const router& aRouter,
-                       const group_row& aGroup,
-                       const read_need& aNeed,
-                       const route_decision& aDecision,
-                       const answer_evidence& aEvidence,
-                       time_point aArrivedAt,
-                       time_point aNow);
+read_verdict
+JudgeRead(const router& aRouter,
+          const group_row& aGroup,
+          const read_need& aNeed,
+          const route_decision& aDecision,
+          const answer_evidence& aEvidence,
+          time_point aArrivedAt,
+          time_point aNow);
 
 } // namespace catkinloom
--- a/Source/Runtime/clHttpServer.cxx
+++ b/Source/Runtime/clHttpServer.cxx
@@ -4,6 +4,7 @@
 #include "clEventLoop.h"
 #include "clLog.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -60,6 +61,17 @@
 
 class http_connection;
 
+namespace {
+
+/// Shared by a read and the timer that may end it; either may come last.
+struct read_progress
+{
+  bool mEnded = false;
+  bool mLate = false;
+};
+
+} // namespace
+
 class http_server::shared_state
   : public std::enable_shared_from_this<http_server::shared_state>
 {
@@ -185,11 +197,22 @@
 
   beast::error_code Read(beast::tcp_stream& aStream,
                          beast::flat_buffer& aBuffer,
-                         http::request_parser<http::string_body>& aParser) const
+                         http::request_parser<http::string_body>& aParser)
   {
     beast::error_code code;
     fiber_wait wait;
-    aStream.expires_after(mServer->mLimits.mReadTimeout);
+    const auto progress = std::make_shared<read_progress>();
+    // The stream's own timer would close the socket, and the caller would
+    // never learn why; this one only ends the read.
+    boost::asio::steady_timer timer(mServer->mLoop.Context(),
+                                    mServer->mLimits.mReadTimeout);
+    timer.async_wait([progress, &aStream](const beast::error_code& aCancelled) {
+      if (!aCancelled && !progress->mEnded) {
+        progress->mLate = true;
+        beast::error_code ignored;
+        aStream.socket().cancel(ignored);
+      }
+    });
     http::async_read(aStream,
                      aBuffer,
                      aParser,
@@ -198,8 +221,8 @@
                        wait.Notify();
                      });
     wait.Wait();
-    aStream.expires_never();
-    return code;
+    progress->mEnded = true;
+    return progress->mLate ? beast::error_code(beast::error::timeout) : code;
   }
 
   bool Write(beast::tcp_stream& aStream, http_response& aResponse) const
--- a/StandIns/clFakePlatform.cxx
+++ b/StandIns/clFakePlatform.cxx
@@ -23,8 +23,7 @@
 
 fake_platform::fake_platform(event_loop& aLoop)
   : mLoop(aLoop)
-  , mServer(aLoop,
-            { 8192, 2097152, milliseconds(5000), milliseconds(5000) })
+  , mServer(aLoop, { 8192, 2097152, milliseconds(5000), milliseconds(5000) })
 {
 }
 
--- a/StandIns/clFakeUpstream.cxx
+++ b/StandIns/clFakeUpstream.cxx
@@ -78,8 +78,7 @@
                              fake_upstream_settings aSettings)
   : mLoop(aLoop)
   , mSettings(std::move(aSettings))
-  , mServer(aLoop,
-            { 8192, 4194304, milliseconds(5000), milliseconds(5000) })
+  , mServer(aLoop, { 8192, 4194304, milliseconds(5000), milliseconds(5000) })
   , mHeardAt(aLoop.Clock().Now())
 {
 }
@@ -87,6 +86,7 @@
 result<void>
 fake_upstream::Listen(const std::string& aAddress)
 {
+  mJournal.Open(mSettings.mJournal, mLog, mTerm, mOwner);
   mLoop.Spawn([this] { Pull(); });
   return mServer.Listen(
     aAddress,
@@ -190,10 +190,7 @@
     return Outcome(aTarget.Text("key"));
   }
   if (aTarget.mPath == "/kill") {
-    for (auto& [number, state] : mConnections) {
-      state.mKilled |= state.mClient == aTarget.Text("connection");
-    }
-    return MakeResponse(200, "{}");
+    return Kill(aTarget.Text("connection"));
   }
   if (aTarget.mPath == "/replicate") {
     return Replicate(ParseObject(aRequest.body()));
@@ -209,6 +206,19 @@
   return MakeResponse(404, "{}");
 }
 
+http_response
+fake_upstream::Kill(const std::string& aName)
+{
+  bool ended = true;
+  for (auto& [number, state] : mConnections) {
+    if (state.mClient == aName) {
+      state.mKilled = true;
+      ended = false;
+    }
+  }
+  return JsonResponse(200, { { "ended", ended } });
+}
+
 boost::json::object
 fake_upstream::Report(const connection_state& aConnection) const
 {
@@ -263,6 +273,21 @@
   return JsonResponse(200, Report(aConnection));
 }
 
+void
+fake_upstream::Append(fake_log_entry aEntry)
+{
+  mJournal.WriteEntry(aEntry);
+  mLog.Append(std::move(aEntry));
+}
+
+void
+fake_upstream::Adopt(term_number aTerm, const std::string& aOwner)
+{
+  mTerm = aTerm;
+  mOwner = aOwner;
+  mJournal.WriteTerm(aTerm, aOwner);
+}
+
 bool
 fake_upstream::Fence(const boost::json::object& aCall)
 {
@@ -274,8 +299,7 @@
   if (term <= mTerm) {
     return false;
   }
-  mTerm = term;
-  mOwner = owner;
+  Adopt(term, owner);
   mLeads = false;
   mFollows.clear();
   mFetched.clear();
@@ -291,7 +315,7 @@
   if (!mLeads) {
     mLeads = true;
     mFollows.clear();
-    mLog.Append({ mTerm, {}, {}, {} });
+    Append({ mTerm, {}, {}, {} });
   }
   return true;
 }
@@ -304,8 +328,7 @@
     return false;
   }
   if (term > mTerm) {
-    mTerm = term;
-    mOwner.clear();
+    Adopt(term, {});
   }
   mLeads = false;
   mFetched.clear();
@@ -408,7 +431,7 @@
     }
     ++mExecutions;
     entry.mAnswer = answer;
-    mLog.Append(std::move(entry));
+    Append(std::move(entry));
     NotifyChange();
   }
   return MakeResponse(200, answer);
@@ -503,6 +526,7 @@
   if (FlagIn(answer, "conflict")) {
     mFetched.clear();
     mLog.Truncate(end.mIndex - 1);
+    mJournal.WriteTruncate(end.mIndex - 1);
     return;
   }
   for (const auto& entry : answer.at("entries").as_array()) {
@@ -532,7 +556,7 @@
 {
   const time_point now = mLoop.Clock().Now();
   while (!mFetched.empty() && mFetched.front().mVisibleAt <= now) {
-    mLog.Append(std::move(mFetched.front().mEntry));
+    Append(std::move(mFetched.front().mEntry));
     mFetched.pop_front();
   }
   NotifyChange();
--- a/StandIns/clFakeUpstream.h
+++ b/StandIns/clFakeUpstream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clEventLoop.h"
+#include "clFakeJournal.h"
 #include "clFakeLog.h"
 #include "clHttpClient.h"
 #include "clHttpServer.h"
@@ -26,6 +27,8 @@
   milliseconds mConnectionCost{ 10 };
   std::chrono::microseconds mServiceTime{ 2000 };
   milliseconds mLag{ 0 };
+  /// File that keeps log and term over a restart; empty for none.
+  std::string mJournal;
 };
 
 /// Stand-in for one instance of a database group.
@@ -82,6 +85,7 @@
   http_response RunStatements(const http_request& aRequest,
                               connection_state& aConnection);
   http_response Outcome(const std::string& aKey) const;
+  http_response Kill(const std::string& aName);
   http_response Replicate(const boost::json::object& aCall);
   http_response Admin(const boost::json::object& aCall);
   http_response AdminLog() const;
@@ -90,6 +94,8 @@
   void Stamp(http_response& aResponse) const;
   void WaitForChange(time_point aEnd);
   void NotifyChange();
+  void Append(fake_log_entry aEntry);
+  void Adopt(term_number aTerm, const std::string& aOwner);
   log_position FetchedEnd() const;
   void ApplyFetched();
   void Pull();
@@ -100,6 +106,7 @@
   fake_upstream_settings mSettings;
   http_server mServer;
   fake_log mLog;
+  fake_journal mJournal;
   std::map<std::uint64_t, connection_state> mConnections;
   std::deque<std::shared_ptr<fiber_wait>> mSlotQueue;
   std::vector<std::shared_ptr<fiber_wait>> mChangeWaiters;
--- a/StandIns/clFakeUpstreamMain.cxx
+++ b/StandIns/clFakeUpstreamMain.cxx
@@ -38,6 +38,9 @@
     "service-us",
     "Statement",
     cxxopts::value<unsigned>()->default_value("2000"))(
+    "journal",
+    "File that keeps the log over a restart",
+    cxxopts::value<std::string>()->default_value(""))(
     "lag-ms",
     "Replication lag",
     cxxopts::value<unsigned>()->default_value("0"));
@@ -52,6 +55,7 @@
   settings.mServiceTime =
     std::chrono::microseconds(parsed["service-us"].as<unsigned>());
   settings.mLag = catkinloom::milliseconds(parsed["lag-ms"].as<unsigned>());
+  settings.mJournal = parsed["journal"].as<std::string>();
   catkinloom::event_loop loop;
   const std::string address = settings.mPeers[settings.mName];
   catkinloom::fake_upstream upstream(loop, settings);
--- a/Tests/Decisions/clPromotionSystemTest.cxx
+++ b/Tests/Decisions/clPromotionSystemTest.cxx
@@ -51,11 +51,8 @@
                                         std::int64_t aNow)
   {
     std::vector<promotion_command> commands;
-    mSystem.OnAnswer(mTable,
-                     aCommand,
-                     { aGranted, aReport, At(aNow) },
-                     At(aNow),
-                     commands);
+    mSystem.OnAnswer(
+      mTable, aCommand, { aGranted, aReport, At(aNow) }, At(aNow), commands);
     return commands;
   }
 
@@ -104,8 +101,7 @@
   LosePrimary(500);
   const auto fences = Tick(510);
   Answer(fences[2], true, ReportOf(2, { 1, 40 }, false), 520);
-  const auto next =
-    Answer(fences[1], true, ReportOf(2, { 1, 50 }, false), 525);
+  const auto next = Answer(fences[1], true, ReportOf(2, { 1, 50 }, false), 525);
   REQUIRE(next.size() == 1);
   CHECK(next[0].mVerb == promotion_verb::Promote);
   CHECK(next[0].mInstance == 1);
@@ -194,15 +190,15 @@
   CHECK(next[0].mInstance == 1);
 }
 
-TEST_CASE_FIXTURE(promotion_fixture, "leaving_primary_hands_over_to_one_staying")
+TEST_CASE_FIXTURE(promotion_fixture,
+                  "leaving_primary_hands_over_to_one_staying")
 {
   mTable.Group(0).mInstances[0].mLeaving = true;
   const auto fences = Tick(100);
   REQUIRE(fences.size() == 3);
   CHECK(Answer(fences[0], true, ReportOf(2, { 1, 60 }, false), 110).empty());
   CHECK(Answer(fences[1], true, ReportOf(2, { 1, 50 }, false), 112).empty());
-  const auto next =
-    Answer(fences[2], true, ReportOf(2, { 1, 40 }, false), 114);
+  const auto next = Answer(fences[2], true, ReportOf(2, { 1, 40 }, false), 114);
   REQUIRE(next.size() == 1);
   CHECK(next[0].mVerb == promotion_verb::Promote);
   CHECK(next[0].mInstance == 1);
--- a/Tests/Decisions/clRouterTest.cxx
+++ b/Tests/Decisions/clRouterTest.cxx
@@ -1,5 +1,5 @@
-#include "clAnswerJudge.h"
 #include "clRouter.h"
+#include "clAnswerJudge.h"
 #include "clTestClock.h"
 
 #include <doctest/doctest.h>
@@ -122,13 +122,8 @@
   const route_decision decision = Read(std::nullopt, {}, 1100);
   const answer_evidence evidence{ 1, { 1, 100 } };
   const auto judge = [&] {
-    return JudgeRead(mRouter,
-                     mTable.Group(0),
-                     {},
-                     decision,
-                     evidence,
-                     At(1100),
-                     At(1200));
+    return JudgeRead(
+      mRouter, mTable.Group(0), {}, decision, evidence, At(1100), At(1200));
   };
   CHECK(judge() == read_verdict::AskTerm);
   mTable.RecordProgress(0, 0, 1, { 1, 100 }, At(1110));
--- a/Tests/Decisions/clSessionTokenTest.cxx
+++ b/Tests/Decisions/clSessionTokenTest.cxx
@@ -38,19 +38,18 @@
   for (int i = 1; i < 40; ++i) {
     tooMany += ",g" + std::to_string(i) + "=1.1";
   }
-  for (const std::string& text :
-       { std::string(""),
-         std::string("faults-1"),
-         std::string("=1.2"),
-         std::string("g=1"),
-         std::string("g=.2"),
-         std::string("g=1."),
-         std::string("g=1.2.3"),
-         std::string("g=-1.2"),
-         std::string("g=99999999999999999999999.1"),
-         std::string("g=1.2,,"),
-         tooLong,
-         tooMany }) {
+  for (const std::string& text : { std::string(""),
+                                   std::string("faults-1"),
+                                   std::string("=1.2"),
+                                   std::string("g=1"),
+                                   std::string("g=.2"),
+                                   std::string("g=1."),
+                                   std::string("g=1.2.3"),
+                                   std::string("g=-1.2"),
+                                   std::string("g=99999999999999999999999.1"),
+                                   std::string("g=1.2,,"),
+                                   tooLong,
+                                   tooMany }) {
     CAPTURE(text);
     const auto token = session_token::Parse(text);
     REQUIRE_FALSE(token.has_value());
--- a/Tests/Histories/clHistoryGroup.h
+++ b/Tests/Histories/clHistoryGroup.h
@@ -76,6 +76,7 @@
 };
 
 /// Name of an instance in a history.
-std::string HistoryInstanceName(instance_number aInstance);
+std::string
+HistoryInstanceName(instance_number aInstance);
 
 } // namespace catkinloom
--- a/Tests/Processes/site_case.py
+++ b/Tests/Processes/site_case.py
@@ -23,17 +23,42 @@
 
     def runs_of(self, key, group=0):
         """How often the surviving log holds a key, read at the primary."""
-        name = self.site.primary(group, self.live_proxy())
         return [entry["idempotency_key"]
-                for entry in self.site.log_entries(name)].count(key)
-
-    def live_proxy(self):
-        for proxy in range(self.shape.proxies):
-            process = self.site.processes[f"proxy-{proxy + 1}"]
-            if process.poll() is None and \
-                    f"proxy-{proxy + 1}" not in self.site.frozen:
-                return proxy
-        raise AssertionError("no live proxy")
+                for entry in self.primary_log(group)].count(key)
+
+    def primary_log(self, group=0):
+        """The log of the primary, once every live proxy names the same."""
+        entries = []
+
+        def read():
+            names = {self.site.primary(group, p) for p in self.live_proxies()}
+            if len(names) != 1 or "" in names:
+                return False
+            try:
+                entries[:] = self.site.log_entries(names.pop())
+            except ValueError:
+                return False
+            return True
+
+        self.site.until(read, "one primary that answers")
+        return entries
+
+    def live_proxies(self):
+        return [proxy for proxy in range(self.shape.proxies)
+                if self.site.processes[f"proxy-{proxy + 1}"].poll() is None
+                and f"proxy-{proxy + 1}" not in self.site.frozen]
+
+    def file_until_done(self, proxy, key):
+        """Files under one key as a caller does, until it is told `done`."""
+        answers = []
+
+        def file():
+            answers.append(self.site.log_fault(proxy, 0, key,
+                                               deadline_ms=10000))
+            return answers[-1].outcome == "done"
+
+        self.site.until(file, f"{key} is acknowledged", timeout=60.0)
+        return answers[-1]
 
     def in_background(self, work):
         """Runs work in a thread; the result is in the returned list."""
--- a/Tests/Settings/clManifestReaderTest.cxx
+++ b/Tests/Settings/clManifestReaderTest.cxx
@@ -17,8 +17,7 @@
 std::string
 GroupText(const std::string& aName, const std::string& aInstance)
 {
-  return "  - name: " + aName + "\n    instances:\n      - " + aInstance +
-         "\n";
+  return "  - name: " + aName + "\n    instances:\n      - " + aInstance + "\n";
 }
 
 const std::string kInstance =
--- a/Tests/clTestClock.cxx
+++ b/Tests/clTestClock.cxx
@@ -15,8 +15,7 @@
   manifest_group group;
   group.mName = aName;
   for (const char* name : { "a", "b", "c" }) {
-    group.mInstances.push_back(
-      { aName + name, name, "127.0.0.1:1", 3, 20 });
+    group.mInstances.push_back({ aName + name, name, "127.0.0.1:1", 3, 20 });
   }
   return group;
 }
--- a/Tests/clTestClock.h
+++ b/Tests/clTestClock.h
@@ -8,12 +8,15 @@
 namespace catkinloom {
 
 /// A moment some milliseconds after the start of a test.
-time_point At(std::int64_t aMilliseconds);
+time_point
+At(std::int64_t aMilliseconds);
 
 /// A group of three instances a, b, c in zones of the same names.
-manifest_group ThreeInstances(const std::string& aName);
+manifest_group
+ThreeInstances(const std::string& aName);
 
 /// A report of an instance in aTerm whose log ends at aLog.
-instance_report ReportOf(term_number aTerm, log_position aLog, bool aLeads);
+instance_report
+ReportOf(term_number aTerm, log_position aLog, bool aLeads);
 
 } // namespace catkinloom
--- a/Utilities/local_site.py
+++ b/Utilities/local_site.py
@@ -186,7 +186,8 @@
                    "--slots", self.shape.slots, "--connections",
                    self.shape.connections, "--connection-cost-ms",
                    self.shape.connection_cost_ms, "--service-us",
-                   self.shape.service_us, *peers)
+                   self.shape.service_us, "--journal",
+                   self.path / f"{name}.journal", *peers)
 
     def start_proxy(self, proxy):
         self.start(f"proxy-{proxy + 1}", BIN / "catkinloomd", "--settings",
