router: know the age of a replica's data more finely

The age of a replica's data is proven only at moments at which the primary's log end was observed, every 200 ms, and a choice counted the time since the last report as further age. Ruled out: trusting an extrapolated position (it proves nothing); probing everything faster always (control has a budget). Change: the choice predicts from the lag at the last report and the answer is judged by its own position; while reads with a declared age run, the primary is asked a hundred times per age; the history's spacing follows the largest age.

--- a/Source/Daemon/clDaemon.cxx
+++ b/Source/Daemon/clDaemon.cxx
@@ -99,6 +99,11 @@
       placed.size(),
       declared.mGroups.size());
   mState.mGroups.Apply(placed);
+  milliseconds largestAge{ 0 };
+  for (const manifest_request& request : declared.mRequests) {
+    largestAge = std::max(largestAge, request.mMaxAge.value_or(milliseconds(0)));
+  }
+  mState.mGroups.CoverAge(largestAge);
   mState.mRequests.Apply(declared.mRequests);
   mState.mCallers.Apply(declared.mCallers);
   mState.mPromotion.Reset();
--- a/Source/Daemon/clReadService.cxx
+++ b/Source/Daemon/clReadService.cxx
@@ -49,6 +49,10 @@
 {
   read_attempt attempt;
   attempt.mNeed = NeedOf(aRequest);
+  if (attempt.mNeed.mMaxAge) {
+    mState.mGroups.NoteAgedRead(
+      aRequest.mGroup, *attempt.mNeed.mMaxAge, mState.Now());
+  }
   attempt.mFailure =
     NoInstance(aRequest.mGroupName, route_reason::PrimaryUnknown);
   while (mState.Now() < aRequest.mDeadline) {
--- a/Source/Daemon/clUpstreamControl.cxx
+++ b/Source/Daemon/clUpstreamControl.cxx
@@ -1,6 +1,7 @@
 #include "clUpstreamControl.h"
 
 #include "clLog.h"
+#include "clProbePace.h"
 #include "clUpstreamMessages.h"
 
 #include <algorithm>
@@ -288,10 +289,16 @@
   if (mStopped || !mOrders.empty()) {
     return;
   }
-  milliseconds pause =
-    mFailing ? mBackOff : mState.mSettings.mTiming.mProbeInterval;
+  const auto number = Number();
+  nanoseconds pause = mBackOff;
+  if (!mFailing && number) {
+    pause = ProbePause(mState.mGroups.Group(mGroup),
+                       *number,
+                       mState.mSettings.mTiming.mProbeInterval,
+                       mState.Now());
+  }
   if (!mKills.empty()) {
-    pause = std::min(pause, kKillPause);
+    pause = std::min<nanoseconds>(pause, kKillPause);
   }
   mWake.WaitUntil(mState.Now() + pause);
 }
--- a/Source/Decisions/clGroupTable.cxx
+++ b/Source/Decisions/clGroupTable.cxx
@@ -1,11 +1,18 @@
 #include "clGroupTable.h"
 
 #include <algorithm>
+#include <array>
 
 namespace catkinloom {
 
 namespace {
 
+/// Time for which a read with a declared age keeps observation fine.
+constexpr milliseconds kAgedReadMemory{ 1000 };
+
+/// Age that the history covers at least.
+constexpr milliseconds kLeastCovered{ 1000 };
+
 bool
 SameInstance(const manifest_instance& aLeft, const manifest_instance& aRight)
 {
@@ -45,22 +52,30 @@
 
 } // namespace
 
+void
+head_history::Cover(milliseconds aAge)
+{
+  // A fifth more than the age, for the time that an answer takes.
+  mSpacing = nanoseconds(aAge) * 6 / 5 / static_cast<int>(kSamples);
+}
+
 void
 head_history::Add(head_sample aSample)
 {
   if (mCount > 0) {
-    const head_sample& last = mSamples[(mNext + kSamples - 1) % kSamples];
-    const bool sameHead = last.mHead == aSample.mHead;
-    const bool tooClose = aSample.mSentAt - last.mSentAt < kSpacing;
-    if (aSample.mSentAt <= last.mSentAt || (tooClose && !sameHead)) {
+    const bool sameHead = mNewest.mHead == aSample.mHead;
+    const bool tooClose = aSample.mSentAt - mNewest.mSentAt < mSpacing;
+    if (aSample.mSentAt <= mNewest.mSentAt || (tooClose && !sameHead)) {
       return;
     }
     if (sameHead) {
       // The log did not move: the later moment proves more.
-      mSamples[(mNext + kSamples - 1) % kSamples].mSentAt = aSample.mSentAt;
+      mNewest.mSentAt = aSample.mSentAt;
+      mSamples[(mNext + kSamples - 1) % kSamples] = mNewest;
       return;
     }
   }
+  mNewest = aSample;
   mSamples[mNext] = aSample;
   mNext = (mNext + 1) % kSamples;
   mCount = std::min(mCount + 1, kSamples);
@@ -76,11 +91,15 @@
   for (head_sample& sample : mSamples) {
     sample.mSentAt = std::min(sample.mSentAt, *aConfirmedAt);
   }
+  mNewest.mSentAt = std::min(mNewest.mSentAt, *aConfirmedAt);
 }
 
 std::optional<time_point>
 head_history::FreshAt(log_position aPosition, time_point aConfirmedAt) const
 {
+  if (mCount > 0 && mNewest.mHead <= aPosition) {
+    return std::min(mNewest.mSentAt, aConfirmedAt);
+  }
   for (std::size_t back = 1; back <= mCount; ++back) {
     const head_sample& sample = mSamples[(mNext + kSamples - back) % kSamples];
     if (sample.mHead <= aPosition) {
@@ -90,6 +109,20 @@
   return std::nullopt;
 }
 
+std::optional<time_point>
+head_history::ReachedAt(log_position aPosition) const
+{
+  std::optional<time_point> reachedAt;
+  for (std::size_t back = 1; back <= mCount; ++back) {
+    const head_sample& sample = mSamples[(mNext + kSamples - back) % kSamples];
+    if (sample.mHead < aPosition) {
+      break;
+    }
+    reachedAt = sample.mSentAt;
+  }
+  return reachedAt;
+}
+
 void
 group_table::Apply(const std::vector<manifest_group>& aGroups)
 {
@@ -108,6 +141,25 @@
   }
 }
 
+void
+group_table::CoverAge(milliseconds aAge)
+{
+  for (group_row& row : mGroups) {
+    row.mHeads.Cover(std::max(aAge, kLeastCovered));
+  }
+}
+
+void
+group_table::NoteAgedRead(group_row_number aGroup,
+                          milliseconds aAge,
+                          time_point aNow)
+{
+  group_row& group = mGroups[aGroup];
+  const bool isFirst = aNow >= group.mAgedReadsUntil;
+  group.mReadAge = isFirst ? aAge : std::min(group.mReadAge, aAge);
+  group.mAgedReadsUntil = aNow + kAgedReadMemory;
+}
+
 std::optional<group_row_number>
 group_table::Find(std::string_view aName) const
 {
--- a/Source/Decisions/clGroupTable.h
+++ b/Source/Decisions/clGroupTable.h
@@ -5,7 +5,7 @@
 #include "clManifest.h"
 #include "clNameIndex.h"
 
-#include <array>
+#include <boost/container/small_vector.hpp>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -45,21 +45,22 @@
   std::uint32_t mOwnConnections = 0;
 };
 
-/// One instance and the freshest evidence about it.
+/// One instance and the freshest evidence about it.  What routing reads
+/// stands first, so that a decision touches few cache lines.
 struct instance_row
 {
-  manifest_instance mDeclared;
   std::optional<instance_report> mReport;
   /// When the question was sent to which mReport is the answer.
   time_point mSentAt;
   /// When the first of the present run of failures was seen.
   std::optional<time_point> mFailingSince;
-  /// The platform's list says that the VM is leaving.
-  bool mLeaving = false;
-  /// Requests that this proxy has in flight on the instance.
-  std::uint32_t mInFlight = 0;
   /// Smoothed answer time of data requests.
   nanoseconds mAnswerTime{ 0 };
+  /// Requests that this proxy has in flight on the instance.
+  std::uint32_t mInFlight = 0;
+  /// The platform's list says that the VM is leaving.
+  bool mLeaving = false;
+  manifest_instance mDeclared;
 };
 
 /// One observation of where the primary's log ended.
@@ -73,6 +74,9 @@
 class head_history
 {
 public:
+  /// Sets the spacing so that the history covers an age.
+  void Cover(milliseconds aAge);
+
   /// Adds an observation; observations closer than the spacing are merged by
   /// keeping the earlier one, so that the history covers a long age.
   void Add(head_sample aSample);
@@ -86,22 +90,35 @@
   std::optional<time_point> FreshAt(log_position aPosition,
                                     time_point aConfirmedAt) const;
 
+  /// Moment at which the primary's log was first seen to reach aPosition.
+  /// Empty when that was never seen.
+  std::optional<time_point> ReachedAt(log_position aPosition) const;
+
 private:
-  static constexpr std::size_t kSamples = 128;
-  static constexpr milliseconds kSpacing{ 50 };
+  static constexpr std::size_t kSamples = 256;
 
-  std::array<head_sample, kSamples> mSamples{};
+  /// The latest observation; most questions end with it.
+  head_sample mNewest;
+  nanoseconds mSpacing = milliseconds(25);
   std::size_t mCount = 0;
   std::size_t mNext = 0;
+  // Apart from the row, so that the rows of many groups lie close together.
+  std::vector<head_sample> mSamples = std::vector<head_sample>(kSamples);
 };
 
 /// One database group.
 struct group_row
 {
+  /// Most groups have three instances; those lie within the row.
+  using instance_list = boost::container::small_vector<instance_row, 3>;
+
   std::string mName;
   acknowledge_policy mAcknowledge = acknowledge_policy::Confirmed;
-  std::vector<instance_row> mInstances;
+  instance_list mInstances;
   head_history mHeads;
+  /// Least declared age of the reads that run until mAgedReadsUntil.
+  milliseconds mReadAge{ 0 };
+  time_point mAgedReadsUntil;
   /// The manifest in force no longer names it; its row number stays taken.
   bool mRetired = false;
 
@@ -118,6 +135,14 @@
   /// unchanged.
   void Apply(const std::vector<manifest_group>& aGroups);
 
+  /// Sets the largest age that any read declares.
+  void CoverAge(milliseconds aAge);
+
+  /// A read with a declared age has come; see ProbePause.
+  void NoteAgedRead(group_row_number aGroup,
+                    milliseconds aAge,
+                    time_point aNow);
+
   std::optional<group_row_number> Find(std::string_view aName) const;
 
   group_row& Group(group_row_number aGroup) { return mGroups[aGroup]; }
--- a/Source/Decisions/clRouter.cxx
+++ b/Source/Decisions/clRouter.cxx
@@ -4,24 +4,49 @@
 
 namespace {
 
+/// Age of a report past which nothing is predicted from it.
+constexpr milliseconds kPredictionLifetime{ 1000 };
+
 bool
 IsExcluded(const read_need& aNeed, instance_number aInstance)
 {
   return (aNeed.mExcluded >> aInstance & 1U) != 0;
 }
 
-/// Half of the allowed age is kept for a second try elsewhere, so the time
-/// that an answer usually takes counts as age already.
-nanoseconds
-ExpectedAge(nanoseconds aAge, const instance_row& aRow)
+bool
+IsUsable(const instance_row& aRow)
 {
-  return aAge + aRow.mAnswerTime;
+  return aRow.mReport && !aRow.mFailingSince && !aRow.mLeaving;
 }
 
+/// Predicts from the lag at the last report whether the instance meets the
+/// need when the request gets there.  The answer is judged by the position
+/// that comes with it, so a wrong guess costs one try and no promise.
 bool
-IsUsable(const instance_row& aRow)
+IsLikelyToMeet(const group_row& aGroup,
+               const instance_row& aRow,
+               const read_need& aNeed,
+               time_point aConfirmedAt,
+               time_point aNow)
 {
-  return aRow.mReport && !aRow.mFailingSince && !aRow.mLeaving;
+  const log_position log = aRow.mReport->mLog;
+  const auto freshAt = aGroup.mHeads.FreshAt(log, aConfirmedAt);
+  if (!freshAt) {
+    return false;
+  }
+  const nanoseconds lag =
+    std::max<nanoseconds>(aRow.mSentAt - *freshAt, nanoseconds(0));
+  const bool fresh = lag + aRow.mAnswerTime <= *aNeed.mMaxAge;
+  const bool reportIsRecent = aNow - aRow.mSentAt < kPredictionLifetime;
+  const bool certain = aNow - *freshAt + aRow.mAnswerTime <= *aNeed.mMaxAge;
+  if (!certain && !(fresh && reportIsRecent)) {
+    return false;
+  }
+  if (log >= aNeed.mFloor) {
+    return true;
+  }
+  const auto reachedAt = aGroup.mHeads.ReachedAt(aNeed.mFloor);
+  return reportIsRecent && reachedAt && aNow - lag >= *reachedAt;
 }
 
 } // namespace
@@ -135,11 +160,8 @@
        ++i) {
     const instance_row& row = aGroup.mInstances[i];
     const bool skipped = i == primary || IsExcluded(aNeed, i);
-    if (skipped || !IsUsable(row) || row.mReport->mLog < aNeed.mFloor) {
-      continue;
-    }
-    const auto freshAt = aGroup.mHeads.FreshAt(row.mReport->mLog, *confirmedAt);
-    if (!freshAt || ExpectedAge(aNow - *freshAt, row) > *aNeed.mMaxAge) {
+    if (skipped || !IsUsable(row) ||
+        !IsLikelyToMeet(aGroup, row, aNeed, *confirmedAt, aNow)) {
       continue;
     }
     const nanoseconds cost = CostOf(row);
--- /dev/null
+++ b/Tests/Measurements/clReplicaShareMain.cxx
@@ -0,0 +1,170 @@
+/// Measures the share of reads that the router gives to replicas, against a
+/// router that knows every true position.  Himal's load: one replica lags 0 to
+/// 5 s, another is minutes behind.  Prints SHARE_OF_BEST SHARE VIOLATIONS
+/// PROBES_PER_SECOND.
+
+#include "clAnswerJudge.h"
+#include "clProbePace.h"
+#include "clTestClock.h"
+
+#include <algorithm>
+#include <deque>
+#include <fmt/format.h>
+#include <random>
+
+namespace {
+
+using namespace catkinloom;
+
+constexpr std::int64_t kDuration = 600000;
+constexpr std::int64_t kProbeEvery = 200;
+constexpr std::int64_t kFarBehind = 180000;
+constexpr std::int64_t kAnswerTime = 8;
+constexpr milliseconds kAges[] = { milliseconds(2000), milliseconds(5000) };
+
+/// The true history of a primary's log, and lagging copies of it.
+class true_log
+{
+public:
+  void Write(std::int64_t aNow) { mWrittenAt.push_back(aNow); }
+
+  std::uint64_t Head() const { return mWrittenAt.size(); }
+
+  /// Entries that had been written by a moment.
+  std::uint64_t HeadAt(std::int64_t aMoment) const
+  {
+    const auto end =
+      std::upper_bound(mWrittenAt.begin(), mWrittenAt.end(), aMoment);
+    return static_cast<std::uint64_t>(end - mWrittenAt.begin());
+  }
+
+  /// True age of a copy that ends at aIndex.
+  std::int64_t AgeOf(std::uint64_t aIndex, std::int64_t aNow) const
+  {
+    return aIndex >= Head() ? 0 : aNow - mWrittenAt[aIndex];
+  }
+
+private:
+  std::vector<std::int64_t> mWrittenAt;
+};
+
+/// Lag of the nearer replica: up and down evenly between 0 and 5 s.
+std::int64_t
+LagAt(std::int64_t aNow)
+{
+  const std::int64_t phase = aNow / 8 % 10000;
+  return phase < 5000 ? phase : 10000 - phase;
+}
+
+struct share_totals
+{
+  std::uint64_t mPossible = 0;
+  std::uint64_t mReads = 0;
+  std::uint64_t mByReplica = 0;
+  std::uint64_t mViolations = 0;
+  std::uint64_t mProbes = 0;
+};
+
+class share_run
+{
+public:
+  share_run()
+  {
+    mTable.Apply({ ThreeInstances("g") });
+    mTable.CoverAge(kAges[1]);
+  }
+
+  share_totals Run()
+  {
+    for (std::int64_t now = 0; now < kDuration; ++now) {
+      if (mRandom() % 50 == 0) {
+        mLog.Write(now);
+      }
+      Probe(now);
+      if (now > kProbeEvery && mRandom() % 5 == 0) {
+        Read(now);
+      }
+    }
+    return mTotals;
+  }
+
+private:
+  log_position PositionOf(instance_number aInstance, std::int64_t aNow) const
+  {
+    const std::int64_t lags[] = { 0, LagAt(aNow), kFarBehind };
+    return { 1, mLog.HeadAt(aNow - lags[aInstance]) };
+  }
+
+  void Probe(std::int64_t aNow)
+  {
+    for (const instance_number i : { 0U, 1U, 2U }) {
+      if (aNow < mNextProbe[i]) {
+        continue;
+      }
+      mTable.Record(0, i, ReportOf(1, PositionOf(i, aNow), i == 0), At(aNow));
+      const auto pause = ProbePause(
+        mTable.Group(0), i, milliseconds(kProbeEvery), At(aNow));
+      mNextProbe[i] =
+        aNow + std::chrono::duration_cast<milliseconds>(pause).count();
+      ++mTotals.mProbes;
+    }
+  }
+
+  void Read(std::int64_t aNow)
+  {
+    // One reader in ten wrote something in the last seconds.
+    const milliseconds age = kAges[mRandom() % 2];
+    read_need need{ {}, age, 0 };
+    mTable.NoteAgedRead(0, age, At(aNow));
+    if (mRandom() % 10 == 0) {
+      need.mFloor = { 1, mLog.HeadAt(aNow - mRandom() % 4000) };
+    }
+    ++mTotals.mReads;
+    bool possible = false;
+    for (const instance_number i : { 1U, 2U }) {
+      const log_position position = PositionOf(i, aNow);
+      possible |= position >= need.mFloor &&
+                  mLog.AgeOf(position.mIndex, aNow) <= age.count();
+    }
+    mTotals.mPossible += possible ? 1 : 0;
+    const route_decision decision =
+      mRouter.DecideRead(mTable.Group(0), need, At(aNow));
+    const log_position position = PositionOf(decision.mInstance, aNow);
+    const read_verdict verdict = JudgeRead(mRouter,
+                                           mTable.Group(0),
+                                           need,
+                                           decision,
+                                           { 1, position },
+                                           At(aNow),
+                                           At(aNow + kAnswerTime));
+    mTable.RecordProgress(0, decision.mInstance, 1, position, At(aNow));
+    const bool served = decision.mAction == route_action::UseReplica &&
+                        verdict == read_verdict::Serve;
+    mTotals.mByReplica += served ? 1 : 0;
+    const bool tooOld = mLog.AgeOf(position.mIndex, aNow) > age.count();
+    mTotals.mViolations += served && tooOld ? 1 : 0;
+  }
+
+  group_table mTable;
+  router mRouter{ {}, "b" };
+  true_log mLog;
+  std::minstd_rand mRandom{ 7 };
+  std::int64_t mNextProbe[3] = {};
+  share_totals mTotals;
+};
+
+} // namespace
+
+int
+main()
+{
+  const share_totals totals = share_run().Run();
+  fmt::print("{:.4f} {:.4f} {} {:.1f}\n",
+             static_cast<double>(totals.mByReplica) /
+               static_cast<double>(totals.mPossible),
+             static_cast<double>(totals.mByReplica) /
+               static_cast<double>(totals.mReads),
+             totals.mViolations,
+             static_cast<double>(totals.mProbes) * 1000.0 / kDuration);
+  return 0;
+}
