queue: drop a waiting request by how far answer times stray

Ruled out: retries (0 were made), too small a share (seats were idle). Change: mean plus four deviations, as in TCP's retransmission timer, must fit before the deadline; a request with half of its time left is always tried, so that an estimate gone wild corrects itself (that test failed first).

--- a/Source/Daemon/clUpstreamExchange.cxx
+++ b/Source/Daemon/clUpstreamExchange.cxx
@@ -7,9 +7,6 @@
 
 namespace {
 
-/// Weight of a new answer time is one in this many.
-constexpr int kSmoothing = 8;
-
 /// The row of the link's instance; null when the manifest dropped it.
 instance_row*
 RowOf(proxy_state& aState, const upstream_link& aLink, group_row_number aGroup)
@@ -42,9 +39,8 @@
   if (row == nullptr) {
     return;
   }
-  const nanoseconds taken = aState.Now() - aSentAt;
-  row->mAnswerTime += (taken - row->mAnswerTime) / kSmoothing;
-  aLink.mPool->SetExpected(row->mAnswerTime);
+  SmoothAnswerTime(*row, aState.Now() - aSentAt);
+  aLink.mPool->SetExpected(ExpectedAnswerTime(*row));
   const auto number =
     FindInstance(aState.mGroups.Group(aGroup), aLink.mInstance.mName);
   aState.mGroups.RecordProgress(
--- a/Source/Daemon/clUpstreamPool.cxx
+++ b/Source/Daemon/clUpstreamPool.cxx
@@ -99,7 +99,7 @@
 result<std::unique_ptr<upstream_connection>>
 upstream_pool::Acquire(caller_number aCaller, time_point aDeadline)
 {
-  const auto ticket = mQueue.Push(aCaller, aDeadline);
+  const auto ticket = mQueue.Push(aCaller, mState.Now(), aDeadline);
   if (!ticket) {
     return error{ error_kind::Overloaded,
                   "Too many requests of this caller class wait already." };
--- a/Source/Decisions/clAdmissionQueue.cxx
+++ b/Source/Decisions/clAdmissionQueue.cxx
@@ -14,7 +14,9 @@
 }
 
 std::optional<ticket_number>
-admission_queue::Push(caller_number aCaller, time_point aDeadline)
+admission_queue::Push(caller_number aCaller,
+                      time_point aNow,
+                      time_point aDeadline)
 {
   caller_row& caller = mCallers.Row(aCaller);
   if (caller.mWaiting >= caller.mDeclared.mMaxQueue) {
@@ -33,7 +35,7 @@
     }
     queue.mServed = std::max(queue.mServed, least);
   }
-  queue.mWaiting.push_back({ mNextTicket, aDeadline });
+  queue.mWaiting.push_back({ mNextTicket, aNow, aDeadline });
   ++caller.mWaiting;
   ++mSize;
   return mNextTicket++;
@@ -70,7 +72,14 @@
                              nanoseconds aExpected)
 {
   const auto& waiting = mQueues[aCaller].mWaiting;
-  while (!waiting.empty() && waiting.front().mDeadline < aNow + aExpected) {
+  while (!waiting.empty()) {
+    const waiting_request& front = waiting.front();
+    // A request with more than half of its time left is always tried: its
+    // answer corrects an estimate that has gone wild.
+    const nanoseconds half = (front.mDeadline - front.mPushedAt) / 2;
+    if (front.mDeadline - aNow >= std::min(aExpected, half)) {
+      return;
+    }
     TakeFront(aCaller);
     ++mDropped;
   }
--- a/Source/Decisions/clAdmissionQueue.h
+++ b/Source/Decisions/clAdmissionQueue.h
@@ -27,6 +27,7 @@
 
   /// Adds a request; empty when its class has too many waiting already.
   std::optional<ticket_number> Push(caller_number aCaller,
+                                    time_point aNow,
                                     time_point aDeadline);
 
   /// Takes the request whose turn it is and counts it as in flight.
@@ -46,6 +47,7 @@
   struct waiting_request
   {
     ticket_number mTicket;
+    time_point mPushedAt;
     time_point mDeadline;
   };
 
--- a/Source/Decisions/clGroupTable.cxx
+++ b/Source/Decisions/clGroupTable.cxx
@@ -10,6 +10,12 @@
 /// Time for which a read with a declared age keeps observation fine.
 constexpr milliseconds kAgedReadMemory{ 1000 };
 
+/// Weight of a new answer time is one in this many, as in TCP's retransmission
+/// timer, and so is the number of deviations that cover nearly every answer.
+constexpr int kMeanSmoothing = 8;
+constexpr int kDeviationSmoothing = 4;
+constexpr int kDeviations = 4;
+
 /// Age that the history covers at least.
 constexpr milliseconds kLeastCovered{ 1000 };
 
@@ -52,6 +58,23 @@
 
 } // namespace
 
+void
+SmoothAnswerTime(instance_row& aRow, nanoseconds aTaken)
+{
+  const nanoseconds difference = aTaken - aRow.mAnswerTime;
+  const nanoseconds stray = difference < nanoseconds(0) ? -difference
+                                                        : difference;
+  aRow.mAnswerTime += difference / kMeanSmoothing;
+  aRow.mAnswerDeviation +=
+    (stray - aRow.mAnswerDeviation) / kDeviationSmoothing;
+}
+
+nanoseconds
+ExpectedAnswerTime(const instance_row& aRow)
+{
+  return aRow.mAnswerTime + kDeviations * aRow.mAnswerDeviation;
+}
+
 void
 head_history::Cover(milliseconds aAge)
 {
--- a/Source/Decisions/clGroupTable.h
+++ b/Source/Decisions/clGroupTable.h
@@ -20,6 +20,14 @@
 /// Number of an instance within its group.
 using instance_number = std::uint32_t;
 
+struct instance_row;
+
+/// Takes a data request's answer time into the smoothed figures.
+void SmoothAnswerTime(instance_row& aRow, nanoseconds aTaken);
+
+/// Time within which nearly every answer of the instance comes.
+nanoseconds ExpectedAnswerTime(const instance_row& aRow);
+
 /// Set of instances of one group, one bit each.
 using instance_set = std::uint32_t;
 
@@ -54,8 +62,9 @@
   time_point mSentAt;
   /// When the first of the present run of failures was seen.
   std::optional<time_point> mFailingSince;
-  /// Smoothed answer time of data requests.
+  /// Smoothed answer time of data requests, and how far they stray from it.
   nanoseconds mAnswerTime{ 0 };
+  nanoseconds mAnswerDeviation{ 0 };
   /// Requests that this proxy has in flight on the instance.
   std::uint32_t mInFlight = 0;
   /// The platform's list says that the VM is leaving.
--- a/Tests/Decisions/clAdmissionQueueTest.cxx
+++ b/Tests/Decisions/clAdmissionQueueTest.cxx
@@ -30,10 +30,10 @@
 {
   std::map<ticket_number, caller_number> owners;
   for (int i = 0; i < 12; ++i) {
-    owners[*mQueue.Push(mDesk, At(1000))] = mDesk;
+    owners[*mQueue.Push(mDesk, At(0), At(1000))] = mDesk;
   }
   for (int i = 0; i < 4; ++i) {
-    owners[*mQueue.Push(mOld, At(1000))] = mOld;
+    owners[*mQueue.Push(mOld, At(0), At(1000))] = mOld;
   }
   int old = 0;
   for (int i = 0; i < 8; ++i) {
@@ -47,7 +47,7 @@
 TEST_CASE_FIXTURE(queue_fixture, "class_at_its_limit_is_slowed_not_refused")
 {
   for (int i = 0; i < 4; ++i) {
-    REQUIRE(mQueue.Push(mOld, At(1000)).has_value());
+    REQUIRE(mQueue.Push(mOld, At(0), At(1000)).has_value());
   }
   CHECK(mQueue.Pop(At(0), {}).has_value());
   CHECK(mQueue.Pop(At(0), {}).has_value());
@@ -59,25 +59,33 @@
 TEST_CASE_FIXTURE(queue_fixture, "class_over_its_queue_is_refused")
 {
   for (int i = 0; i < 4; ++i) {
-    REQUIRE(mQueue.Push(mOld, At(1000)).has_value());
+    REQUIRE(mQueue.Push(mOld, At(0), At(1000)).has_value());
   }
-  CHECK_FALSE(mQueue.Push(mOld, At(1000)).has_value());
-  CHECK(mQueue.Push(mDesk, At(1000)).has_value());
+  CHECK_FALSE(mQueue.Push(mOld, At(0), At(1000)).has_value());
+  CHECK(mQueue.Push(mDesk, At(0), At(1000)).has_value());
 }
 
 TEST_CASE_FIXTURE(queue_fixture, "request_that_cannot_be_answered_is_dropped")
 {
-  mQueue.Push(mDesk, At(100));
-  const auto late = mQueue.Push(mDesk, At(500));
+  mQueue.Push(mDesk, At(0), At(100));
+  const auto late = mQueue.Push(mDesk, At(0), At(500));
   CHECK(mQueue.Pop(At(90), milliseconds(20)) == late);
   CHECK(mQueue.Dropped() == 1);
   CHECK(mQueue.Size() == 0);
 }
 
+TEST_CASE_FIXTURE(queue_fixture, "estimate_gone_wild_does_not_starve_the_queue")
+{
+  // After a failover the estimate may exceed every deadline; if nothing were
+  // served any more, no answer would ever correct it.
+  const auto fresh = mQueue.Push(mDesk, At(0), At(300));
+  CHECK(mQueue.Pop(At(1), milliseconds(5000)) == fresh);
+}
+
 TEST_CASE_FIXTURE(queue_fixture, "removed_request_is_not_served")
 {
-  const auto first = mQueue.Push(mDesk, At(500));
-  const auto second = mQueue.Push(mDesk, At(500));
+  const auto first = mQueue.Push(mDesk, At(0), At(500));
+  const auto second = mQueue.Push(mDesk, At(0), At(500));
   mQueue.Remove(*first);
   CHECK(mQueue.Pop(At(0), {}) == second);
 }
