proxy: forward a session that came in a cookie

Cause: reading the code as a newcomer: a forwarded request took the session from its header only, so a caller with a cookie lost its floors on every proxy that does not serve the group. Change: header and cookie are read in one place, and a forwarded answer sets both. test_session_in_cookie_is_forwarded failed against the build before. Test sites take ports that are free.

--- a/Source/Daemon/clCallerRequest.cxx
+++ b/Source/Daemon/clCallerRequest.cxx
@@ -39,23 +39,6 @@
   return request_path{ aTarget.substr(0, slash), aTarget.substr(slash + 1) };
 }
 
-/// The session token from its header, else from the cookie.
-std::string_view
-SessionText(const http_request& aRequest)
-{
-  const std::string_view text = HeaderOf(aRequest, header::kSession);
-  if (!text.empty()) {
-    return text;
-  }
-  std::string_view cookies = HeaderOf(aRequest, "Cookie");
-  const std::size_t start = cookies.find(kCookieName);
-  if (start == std::string_view::npos) {
-    return {};
-  }
-  cookies.remove_prefix(start + kCookieName.size());
-  return cookies.substr(0, cookies.find(';'));
-}
-
 result<milliseconds>
 ReadDeadline(const http_request& aRequest, const limit_settings& aLimits)
 {
@@ -102,15 +85,6 @@
   return boost::outcome_v2::success();
 }
 
-void
-SetSession(http_response& aResponse, const std::string& aText)
-{
-  SetHeader(aResponse, header::kSession, aText);
-  SetHeader(aResponse,
-            "Set-Cookie",
-            std::string(kCookieName) + aText + "; Path=/; HttpOnly");
-}
-
 http_response
 EncodeFailure(const caller_failure& aFailure)
 {
@@ -128,6 +102,31 @@
 
 } // namespace
 
+std::string_view
+SessionText(const http_request& aRequest)
+{
+  const std::string_view text = HeaderOf(aRequest, header::kSession);
+  if (!text.empty()) {
+    return text;
+  }
+  std::string_view cookies = HeaderOf(aRequest, "Cookie");
+  const std::size_t start = cookies.find(kCookieName);
+  if (start == std::string_view::npos) {
+    return {};
+  }
+  cookies.remove_prefix(start + kCookieName.size());
+  return cookies.substr(0, cookies.find(';'));
+}
+
+void
+SetSession(http_response& aResponse, const std::string& aText)
+{
+  SetHeader(aResponse, header::kSession, aText);
+  SetHeader(aResponse,
+            "Set-Cookie",
+            std::string(kCookieName) + aText + "; Path=/; HttpOnly");
+}
+
 result<caller_request>
 ReadCallerRequest(const proxy_state& aState, http_request& aRequest)
 {
--- a/Source/Daemon/clRequestService.cxx
+++ b/Source/Daemon/clRequestService.cxx
@@ -27,7 +27,7 @@
   request.mGroup = aGroup;
   request.mRequest =
     RequestOfTarget({ aRequest.target().data(), aRequest.target().size() });
-  request.mSession = HeaderOf(aRequest, header::kSession);
+  request.mSession = SessionText(aRequest);
   request.mIdempotencyKey = HeaderOf(aRequest, header::kIdempotencyKey);
   request.mCaller = HeaderOf(aRequest, header::kCaller);
   request.mDeadlineMs = static_cast<std::uint32_t>(
@@ -67,7 +67,6 @@
 {
   http_response response = MakeResponse(aAnswer.mStatus, aAnswer.mBody);
   const std::pair<std::string_view, const std::string&> headers[] = {
-    { header::kSession, aAnswer.mSession },
     { header::kOutcome, aAnswer.mOutcome },
     { header::kError, aAnswer.mError },
     { header::kUpstream, aAnswer.mUpstream },
@@ -77,6 +76,9 @@
       SetHeader(response, name, value);
     }
   }
+  if (!aAnswer.mSession.empty()) {
+    SetSession(response, aAnswer.mSession);
+  }
   return response;
 }
 
--- /dev/null
+++ b/Source/Tool/clManifestCommands.cxx
@@ -0,0 +1,171 @@
+#include "clCommandFactories.h"
+#include "clCommandOutput.h"
+#include "clDaemonClient.h"
+#include "clManifestCodec.h"
+#include "clManifestReader.h"
+#include "clYamlMapping.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <fmt/format.h>
+#include <thread>
+
+namespace catkinloom {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr milliseconds kSubmitTimeout{ 30000 };
+constexpr milliseconds kInForcePause{ 50 };
+constexpr int kInForceTries = 200;
+
+class manifest_check_command : public tool_command
+{
+public:
+  std::string_view Name() const override { return "manifest check"; }
+  std::string_view Summary() const override
+  {
+    return "Check a manifest file without a daemon";
+  }
+
+  void AddOptions(cxxopts::Options& aOptions) const override
+  {
+    aOptions.add_options()(
+      "file", "Manifest in YAML", cxxopts::value<std::string>());
+  }
+
+  exit_code Run(const cxxopts::ParseResult& aOptions) const override
+  {
+    const auto file = aOptions["file"].as<std::string>();
+    const auto text = ReadFile(file, error_kind::BadManifest);
+    if (!text) {
+      return ExitOf(text.error());
+    }
+    const auto declared = ReadManifest(file, text.value());
+    if (!declared) {
+      return ExitOf(declared.error());
+    }
+    std::size_t largest = 0;
+    for (const auto& [bucket, part] : EncodeManifest(declared.value())) {
+      largest = std::max(largest, part.size());
+    }
+    const json::object summary{ { "file", file },
+                                { "groups", declared.value().mGroups.size() },
+                                { "proxies", declared.value().mProxies.size() },
+                                { "largest_stored_bytes", largest } };
+    if (aOptions.count("json") > 0) {
+      fmt::print("{}\n", json::serialize(summary));
+    } else {
+      fmt::print("{}: ok, {} groups, {} proxies, largest stored part {} "
+                 "bytes\n",
+                 file,
+                 declared.value().mGroups.size(),
+                 declared.value().mProxies.size(),
+                 largest);
+    }
+    return exit_code::Ok;
+  }
+};
+
+class manifest_submit_command : public tool_command
+{
+public:
+  std::string_view Name() const override { return "manifest submit"; }
+  std::string_view Summary() const override
+  {
+    return "Make a manifest the next version, and wait until it is in force";
+  }
+
+  void AddOptions(cxxopts::Options& aOptions) const override
+  {
+    aOptions.add_options()(
+      "file", "Manifest in YAML", cxxopts::value<std::string>())(
+      "expect",
+      "Refuse unless this version is in force",
+      cxxopts::value<std::uint64_t>());
+  }
+
+  exit_code Run(const cxxopts::ParseResult& aOptions) const override
+  {
+    const auto file = aOptions["file"].as<std::string>();
+    const auto text = ReadFile(file, error_kind::BadManifest);
+    if (!text) {
+      return ExitOf(text.error());
+    }
+    if (const auto checked = ReadManifest(file, text.value()); !checked) {
+      return ExitOf(checked.error());
+    }
+    const auto daemon = aOptions["daemon"].as<std::string>();
+    std::string target = "/manifest";
+    if (aOptions.count("expect") > 0) {
+      target +=
+        "?expect=" + std::to_string(aOptions["expect"].as<std::uint64_t>());
+    }
+    const auto response =
+      CallDaemon(daemon,
+                 MakeRequest(http::verb::post, target, text.value()),
+                 kSubmitTimeout);
+    if (!response) {
+      return ExitOf(response.error());
+    }
+    if (response.value().result_int() != 200) {
+      PrintError(response.value().body());
+      return exit_code::Refused;
+    }
+    json::error_code code;
+    const json::value answer = json::parse(response.value().body(), code);
+    const std::uint64_t version =
+      code ? 0 : answer.at("version").to_number<std::uint64_t>();
+    return AwaitInForce(daemon, version);
+  }
+
+private:
+  /// Waits until every live proxy has the version in force.
+  static exit_code AwaitInForce(const std::string& aDaemon,
+                                std::uint64_t aVersion)
+  {
+    for (int i = 0; i < kInForceTries; ++i) {
+      const auto status = GetDocument(aDaemon, "/status");
+      if (status && IsInForce(status.value(), aVersion)) {
+        fmt::print("accepted: version {} is in force on every live proxy\n",
+                   aVersion);
+        return exit_code::Ok;
+      }
+      std::this_thread::sleep_for(kInForcePause);
+    }
+    fmt::print("accepted: version {}; not every proxy has it yet, see "
+               "`manifest status`\n",
+               aVersion);
+    return exit_code::Ok;
+  }
+
+  static bool IsInForce(const json::value& aStatus, std::uint64_t aVersion)
+  {
+    const json::object& own = aStatus.as_object();
+    bool all =
+      own.at("manifest_version").to_number<std::uint64_t>() >= aVersion;
+    for (const json::value& peer : own.at("peers").as_array()) {
+      all = all && (!peer.at("live").as_bool() ||
+                    peer.at("manifest_version").to_number<std::uint64_t>() >=
+                      aVersion);
+    }
+    return all;
+  }
+};
+
+} // namespace
+
+std::unique_ptr<tool_command>
+MakeManifestCheckCommand()
+{
+  return std::make_unique<manifest_check_command>();
+}
+
+std::unique_ptr<tool_command>
+MakeManifestSubmitCommand()
+{
+  return std::make_unique<manifest_submit_command>();
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Tool/clStateCommands.cxx
@@ -0,0 +1,205 @@
+#include "clCommandFactories.h"
+#include "clCommandOutput.h"
+#include "clDaemonClient.h"
+#include "clTextTable.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <fmt/format.h>
+
+namespace catkinloom {
+
+namespace json = boost::json;
+
+namespace {
+
+/// A command that gets one document and shows it as a table or as JSON.
+class document_command : public tool_command
+{
+public:
+  void AddOptions(cxxopts::Options&) const override {}
+
+  exit_code Run(const cxxopts::ParseResult& aOptions) const override
+  {
+    const auto document =
+      GetDocument(aOptions["daemon"].as<std::string>(), Target(aOptions));
+    if (!document) {
+      return ExitOf(document.error());
+    }
+    if (aOptions.count("json") > 0) {
+      fmt::print("{}\n", json::serialize(document.value()));
+      return exit_code::Ok;
+    }
+    fmt::print("{}", Table(document.value()));
+    return exit_code::Ok;
+  }
+
+protected:
+  virtual std::string Target(const cxxopts::ParseResult& aOptions) const = 0;
+  virtual std::string Table(const json::value& aDocument) const = 0;
+};
+
+class status_command : public document_command
+{
+public:
+  std::string_view Name() const override { return "status"; }
+  std::string_view Summary() const override
+  {
+    return "State of a daemon and of its peers";
+  }
+
+protected:
+  std::string Target(const cxxopts::ParseResult&) const override
+  {
+    return "/status";
+  }
+
+  std::string Table(const json::value& aDocument) const override
+  {
+    const json::object& own = aDocument.as_object();
+    text_table table({ "PROXY", "ZONE", "LIVE", "DRAINING", "MANIFEST" });
+    table.Add({ Cell(own, "name"),
+                Cell(own, "zone"),
+                "yes",
+                YesNo(own, "draining"),
+                Cell(own, "manifest_version") });
+    for (const json::value& item : own.at("peers").as_array()) {
+      const json::object& peer = item.as_object();
+      table.Add({ Cell(peer, "name"),
+                  Cell(peer, "zone"),
+                  YesNo(peer, "live"),
+                  YesNo(peer, "draining"),
+                  Cell(peer, "manifest_version") });
+    }
+    return table.Text();
+  }
+};
+
+class manifest_status_command : public status_command
+{
+public:
+  std::string_view Name() const override { return "manifest status"; }
+  std::string_view Summary() const override
+  {
+    return "Manifest version in force on every proxy";
+  }
+};
+
+class groups_command : public document_command
+{
+public:
+  std::string_view Name() const override { return "groups"; }
+  std::string_view Summary() const override
+  {
+    return "Database groups, their primaries and instances";
+  }
+
+protected:
+  std::string Target(const cxxopts::ParseResult&) const override
+  {
+    return "/groups";
+  }
+
+  std::string Table(const json::value& aDocument) const override
+  {
+    text_table table({ "GROUP",
+                       "INSTANCE",
+                       "ZONE",
+                       "ROLE",
+                       "STATE",
+                       "TERM",
+                       "LOG",
+                       "OPEN/SHARE",
+                       "WAITING" });
+    for (const json::value& item : aDocument.as_array()) {
+      const json::object& group = item.as_object();
+      for (const json::value& child : group.at("instances").as_array()) {
+        const json::object& instance = child.as_object();
+        table.Add(
+          { Cell(group, "name"),
+            Cell(instance, "name"),
+            Cell(instance, "zone"),
+            Cell(group, "primary") == Cell(instance, "name") ? "primary"
+                                                             : "replica",
+            Cell(instance, "state"),
+            Cell(instance, "term"),
+            Cell(instance, "log_term") + "." + Cell(instance, "log_index"),
+            Cell(instance, "open") + "/" + Cell(instance, "share"),
+            Cell(instance, "waiting") });
+      }
+    }
+    return table.Text();
+  }
+};
+
+class explain_command : public document_command
+{
+public:
+  std::string_view Name() const override { return "explain"; }
+  std::string_view Summary() const override
+  {
+    return "Which upstream a request would go to now, and why";
+  }
+
+  void AddOptions(cxxopts::Options& aOptions) const override
+  {
+    aOptions.add_options()(
+      "group", "Database group", cxxopts::value<std::string>())(
+      "request", "Declared request", cxxopts::value<std::string>())(
+      "session",
+      "Session token",
+      cxxopts::value<std::string>()->default_value(""));
+  }
+
+protected:
+  std::string Target(const cxxopts::ParseResult& aOptions) const override
+  {
+    return fmt::format("/explain?group={}&request={}&session={}",
+                       EscapeTarget(aOptions["group"].as<std::string>()),
+                       EscapeTarget(aOptions["request"].as<std::string>()),
+                       EscapeTarget(aOptions["session"].as<std::string>()));
+  }
+
+  std::string Table(const json::value& aDocument) const override
+  {
+    const json::object& row = aDocument.as_object();
+    text_table table(
+      { "GROUP", "REQUEST", "KIND", "ACTION", "INSTANCE", "TERM", "REASON" });
+    table.Add({ Cell(row, "group"),
+                Cell(row, "request"),
+                Cell(row, "kind"),
+                Cell(row, "action"),
+                Cell(row, "instance"),
+                Cell(row, "term"),
+                Cell(row, "reason") });
+    return table.Text();
+  }
+};
+
+} // namespace
+
+std::unique_ptr<tool_command>
+MakeStatusCommand()
+{
+  return std::make_unique<status_command>();
+}
+
+std::unique_ptr<tool_command>
+MakeManifestStatusCommand()
+{
+  return std::make_unique<manifest_status_command>();
+}
+
+std::unique_ptr<tool_command>
+MakeGroupsCommand()
+{
+  return std::make_unique<groups_command>();
+}
+
+std::unique_ptr<tool_command>
+MakeExplainCommand()
+{
+  return std::make_unique<explain_command>();
+}
+
+} // namespace catkinloom
--- a/Utilities/local_site.py
+++ b/Utilities/local_site.py
@@ -10,6 +10,7 @@
 import pathlib
 import random
 import signal
+import socket
 import subprocess
 import tempfile
 import time
@@ -76,12 +77,27 @@
         connection.close()
 
 
+def free_base_port():
+    """A thousand ports below those of outgoing connections, not in use."""
+    bases = [thousand * 1000 for thousand in range(11, 31)]
+    random.shuffle(bases)
+    for base in bases:
+        try:
+            for port in (base, base + 100, base + 200, base + 400):
+                with socket.socket() as probe:
+                    probe.bind(("127.0.0.1", port))
+            return base
+        except OSError:
+            continue
+    raise RuntimeError("no free ports")
+
+
 class Site:
     """A running site; use it in a with statement."""
 
     def __init__(self, shape=None, base_port=None, log_level="decision"):
         self.shape = shape or SiteShape()
-        self.base = base_port or random.randrange(11, 31) * 1000
+        self.base = base_port or free_base_port()
         self.log_level = log_level
         self.processes = {}
         self.folder = tempfile.TemporaryDirectory(prefix="catkinloom-")
