--- a/Utilities/measure.py
+++ b/Utilities/measure.py
@@ -442,10 +442,10 @@
            max(gaps) <= 19)
 
 
-FIGURES = [proxied_over_direct, statement_cpu, manifest_check, memory, failover, failover_in_outage,
-           histories, replica_share, outcomes, connections, overload, drain,
-           leaving, manifests, platform_calls, decisions, control,
-           failover_fleet_timing]
+FIGURES = [proxied_over_direct, statement_cpu, manifest_check, memory,
+           failover, failover_in_outage, histories, replica_share, outcomes,
+           connections, overload, drain, leaving, manifests, platform_calls,
+           decisions, control, failover_fleet_timing]
 
 
 def main():
