daemon: hold an instance's link while a request uses it

A request kept a plain pointer to a link while it waited for its answer; a manifest that dropped the instance meanwhile destroyed the link, and the request then read it. An order's answer looked the link up again and did not expect it gone. Ruled out: copying what is needed (control, pool and names are all used after the wait); stopping requests at a manifest change. Change: the directory hands out the shared link. The time of one attempt was worked out in the read and in the write service; it is now in SendToUpstream. No test causes the dropped instance in mid-request yet.

--- a/Source/Daemon/clOperatorService.cxx
+++ b/Source/Daemon/clOperatorService.cxx
@@ -192,7 +192,7 @@
     json::array instances;
     for (instance_number i = 0; i < group.mInstances.size(); ++i) {
       instances.push_back(
-        InstanceToJson(group.mInstances[i], mDirectory.Find(number, i)));
+        InstanceToJson(group.mInstances[i], mDirectory.Find(number, i).get()));
     }
     const auto primary = PrimaryOf(group);
     groups.push_back(
--- a/Source/Daemon/clReadService.cxx
+++ b/Source/Daemon/clReadService.cxx
@@ -109,7 +109,7 @@
   aAttempt.mDecision =
     mState.mRouter.DecideRead(group, aAttempt.mNeed, mState.Now());
   const route_decision& decision = aAttempt.mDecision;
-  upstream_link* link = mDirectory.Find(aRequest.mGroup, decision.mInstance);
+  const auto link = mDirectory.Find(aRequest.mGroup, decision.mInstance);
   const bool waits = decision.mAction == route_action::Wait ||
                      aAttempt.mNeed.mFloor.mTerm > HighestTerm(group);
   if (waits || link == nullptr) {
@@ -126,11 +126,7 @@
       decision.mTerm,
       ReasonName(decision.mReason));
   http_request request = EncodeExecute(aRequest);
-  const time_point deadline =
-    std::min(aRequest.mDeadline,
-             mState.Now() + mState.mSettings.mTiming.mAttemptTimeout);
-  upstream_answer answer = SendToUpstream(
-    mState, *link, aRequest.mGroup, aRequest.mCaller, request, deadline);
+  upstream_answer answer = SendToUpstream(mState, *link, aRequest, request);
   aAttempt.mAnswer.mInstance = link->mInstance.mName;
   return Judge(aRequest, aAttempt, answer);
 }
--- a/Source/Daemon/clUpstreamDirectory.cxx
+++ b/Source/Daemon/clUpstreamDirectory.cxx
@@ -70,20 +70,21 @@
   }
 }
 
-upstream_link*
-upstream_directory::Find(group_row_number aGroup, instance_number aInstance)
+std::shared_ptr<upstream_link>
+upstream_directory::Find(group_row_number aGroup,
+                         instance_number aInstance) const
 {
   if (aGroup >= mLinks.size() || aInstance >= mLinks[aGroup].size()) {
     return nullptr;
   }
-  return mLinks[aGroup][aInstance].get();
+  return mLinks[aGroup][aInstance];
 }
 
 void
 upstream_directory::Order(const promotion_command& aCommand)
 {
-  upstream_link* link = Find(aCommand.mGroup, aCommand.mInstance);
-  const upstream_link* leader = Find(aCommand.mGroup, aCommand.mLeader);
+  const auto link = Find(aCommand.mGroup, aCommand.mInstance);
+  const auto leader = Find(aCommand.mGroup, aCommand.mLeader);
   if (link == nullptr || leader == nullptr) {
     return;
   }
@@ -101,13 +102,17 @@
 upstream_directory::OnOrderAnswer(const promotion_command& aCommand,
                                   const promotion_answer& aAnswer)
 {
+  const auto link = Find(aCommand.mGroup, aCommand.mInstance);
+  if (!link) {
+    return;
+  }
   std::vector<promotion_command> next;
   const bool promotes = aCommand.mVerb == promotion_verb::Promote;
   Log(log_level::Info,
       "promotion",
       "Order answered. verb={} instance={} term={} granted={} log={}.{}",
       VerbName(aCommand.mVerb),
-      Find(aCommand.mGroup, aCommand.mInstance)->mInstance.mName,
+      link->mInstance.mName,
       aCommand.mTerm,
       aAnswer.mGranted,
       aAnswer.mReport.mLog.mTerm,
--- a/Source/Daemon/clUpstreamDirectory.h
+++ b/Source/Daemon/clUpstreamDirectory.h
@@ -31,7 +31,10 @@
   /// Opens links to new instances, keeps the others, stops those that left.
   void Apply();
 
-  upstream_link* Find(group_row_number aGroup, instance_number aInstance);
+  /// The link of an instance; empty when there is none.  It stays good while
+  /// it is held, although a manifest may drop the instance meanwhile.
+  std::shared_ptr<upstream_link> Find(group_row_number aGroup,
+                                      instance_number aInstance) const;
 
   /// Sends an order of the promotion system to its instance.
   void Order(const promotion_command& aCommand);
--- a/Source/Daemon/clUpstreamExchange.cxx
+++ b/Source/Daemon/clUpstreamExchange.cxx
@@ -83,33 +83,34 @@
 
 upstream_answer
 SendToUpstream(proxy_state& aState,
-               upstream_link& aLink,
-               group_row_number aGroup,
-               caller_number aCaller,
-               http_request& aRequest,
-               time_point aDeadline)
+               const upstream_link& aLink,
+               const caller_request& aRequest,
+               http_request& aMessage)
 {
+  const group_row_number group = aRequest.mGroup;
+  const caller_number caller = aRequest.mCaller;
+  const time_point deadline =
+    std::min(aRequest.mDeadline,
+             aState.Now() + aState.mSettings.mTiming.mAttemptTimeout);
   upstream_answer answer;
   const std::shared_ptr<upstream_pool> pool = aLink.mPool;
-  auto acquired = pool->Acquire(aCaller, aDeadline);
+  auto acquired = pool->Acquire(caller, deadline);
   if (!acquired) {
     answer.mEnd = EndOfRefusal(acquired.error().mKind);
     answer.mDetail = acquired.error().mDetail;
     return answer;
   }
   std::unique_ptr<upstream_connection> connection = std::move(acquired.value());
-  SetHeader(aRequest, header::kClient, connection->mName);
+  SetHeader(aMessage, header::kClient, connection->mName);
   answer.mConnection = connection->mName;
   answer.mSentAt = aState.Now();
-  CountInFlight(aState, aLink, aGroup, 1);
+  CountInFlight(aState, aLink, group, 1);
   exchange_result outcome = connection->mHttp.Exchange(
-    aRequest,
-    std::max<nanoseconds>(aDeadline - answer.mSentAt, nanoseconds(1)));
-  CountInFlight(aState, aLink, aGroup, -1);
+    aMessage, std::max<nanoseconds>(deadline - answer.mSentAt, nanoseconds(1)));
+  CountInFlight(aState, aLink, group, -1);
   if (outcome.IsOk()) {
-    RecordAnswer(aState, aLink, aGroup, outcome.mResponse, answer.mSentAt);
-    pool->Release(
-      std::move(connection), aCaller, StateAfter(outcome.mResponse));
+    RecordAnswer(aState, aLink, group, outcome.mResponse, answer.mSentAt);
+    pool->Release(std::move(connection), caller, StateAfter(outcome.mResponse));
     answer.mEnd = exchange_end::Answered;
     answer.mResponse = std::move(outcome.mResponse);
     return answer;
@@ -118,7 +119,7 @@
   const bool sent = outcome.mProgress == exchange_progress::MaybeSent;
   answer.mEnd = sent ? exchange_end::Uncertain : exchange_end::NotSent;
   pool->Release(std::move(connection),
-                aCaller,
+                caller,
                 sent ? connection_state::Uncertain : connection_state::Unused);
   // The instance may be gone: find out now rather than at the next probe.
   aLink.mControl->WantFresh(aState.Now());
--- a/Source/Daemon/clUpstreamExchange.h
+++ b/Source/Daemon/clUpstreamExchange.h
@@ -31,15 +31,14 @@
   std::string mConnection;
 };
 
-/// Sends a request to an instance over one of its pooled connections, and
-/// records what the answer tells about the instance.
+/// Sends a message for a caller's request to an instance over one of its pooled
+/// connections, within one attempt's time, and records what the answer tells
+/// about the instance.  The caller holds aLink.
 upstream_answer
 SendToUpstream(proxy_state& aState,
-               upstream_link& aLink,
-               group_row_number aGroup,
-               caller_number aCaller,
-               http_request& aRequest,
-               time_point aDeadline);
+               const upstream_link& aLink,
+               const caller_request& aRequest,
+               http_request& aMessage);
 
 /// The request as the instance gets it.
 http_request
--- a/Source/Daemon/clWriteService.cxx
+++ b/Source/Daemon/clWriteService.cxx
@@ -63,7 +63,7 @@
 {
   const route_decision decision = mState.mRouter.DecideWrite(
     mState.mGroups.Group(aRequest.mGroup), mState.Now());
-  upstream_link* link = mDirectory.Find(aRequest.mGroup, decision.mInstance);
+  const auto link = mDirectory.Find(aRequest.mGroup, decision.mInstance);
   if (decision.mAction == route_action::Wait || link == nullptr) {
     Wait(aRequest);
     return std::nullopt;
@@ -77,7 +77,7 @@
       decision.mTerm,
       ReasonName(decision.mReason));
   http_request request = EncodeExecute(aRequest);
-  upstream_answer answer = Send(aRequest, *link, request);
+  upstream_answer answer = SendToUpstream(mState, *link, aRequest, request);
   switch (answer.mEnd) {
     case exchange_end::Answered:
       return OnAnswer(aRequest, decision, *link, answer);
@@ -95,18 +95,6 @@
   return std::nullopt;
 }
 
-upstream_answer
-write_service::Send(const caller_request& aRequest,
-                    upstream_link& aLink,
-                    http_request& aMessage)
-{
-  const time_point deadline =
-    std::min(aRequest.mDeadline,
-             mState.Now() + mState.mSettings.mTiming.mAttemptTimeout);
-  return SendToUpstream(
-    mState, aLink, aRequest.mGroup, aRequest.mCaller, aMessage, deadline);
-}
-
 write_service::attempt_result
 write_service::OnAnswer(caller_request& aRequest,
                         const route_decision& aDecision,
@@ -224,7 +212,7 @@
 {
   const route_decision decision = mState.mRouter.DecideWrite(
     mState.mGroups.Group(aRequest.mGroup), mState.Now());
-  upstream_link* link = mDirectory.Find(aRequest.mGroup, decision.mInstance);
+  const auto link = mDirectory.Find(aRequest.mGroup, decision.mInstance);
   if (decision.mAction == route_action::Wait || link == nullptr) {
     return look_up_end::NotKnownYet;
   }
@@ -236,7 +224,8 @@
     !aUncertain.mControl->HasEnded(aUncertain.mConnection);
   http_request request = MakeRequest(
     http::verb::get, "/outcome?key=" + EscapeQuery(aRequest.mIdempotencyKey));
-  const upstream_answer answer = Send(aRequest, *link, request);
+  const upstream_answer answer =
+    SendToUpstream(mState, *link, aRequest, request);
   const unsigned status = answer.mResponse.result_int();
   const bool answered = answer.mEnd == exchange_end::Answered &&
                         (status == 200 || status == 404) &&
--- a/Source/Daemon/clWriteService.h
+++ b/Source/Daemon/clWriteService.h
@@ -65,9 +65,6 @@
   /// A majority holds the log up to there, whatever the group's policy.
   bool IsConfirmedNow(const caller_request& aRequest,
                       const answer_evidence& aEvidence);
-  upstream_answer Send(const caller_request& aRequest,
-                       upstream_link& aLink,
-                       http_request& aMessage);
   void Wait(const caller_request& aRequest);
 
   proxy_state& mState;
