--- /dev/null
+++ b/Source/Decisions/clFailoverPlan.cxx
@@ -0,0 +1,70 @@
+#include "clFailoverPlan.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace catkinloom {
+
+namespace {
+
+bool
+IsStopped(const std::vector<failover_member>& aMembers, const std::string& aId)
+{
+  return std::any_of(
+    aMembers.begin(), aMembers.end(), [&aId](const failover_member& aMember) {
+      return aMember.mId == aId && aMember.mStopped;
+    });
+}
+
+/// Instances other than aLeader that could still receive its commits.
+std::size_t
+OpenReceivers(const std::vector<failover_member>& aMembers,
+              const std::string& aLeader)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aMembers.begin(), aMembers.end(), [&](const failover_member& aMember) {
+      return aMember.mId != aLeader && !aMember.mStopped;
+    }));
+}
+
+} // namespace
+
+bool
+IsEveryCommitStopped(const std::vector<failover_member>& aMembers,
+                     const std::string& aPrimary,
+                     const std::vector<std::string>& aMayLead,
+                     std::uint32_t aSyncReplicas)
+{
+  const auto isUnordered =
+    std::find(aMayLead.begin(), aMayLead.end(), aPrimary) == aMayLead.end();
+  const bool primaryStopped = isUnordered && IsStopped(aMembers, aPrimary);
+  if (!primaryStopped && OpenReceivers(aMembers, aPrimary) >= aSyncReplicas) {
+    return false;
+  }
+  return std::all_of(
+    aMayLead.begin(), aMayLead.end(), [&](const std::string& aLeader) {
+      return OpenReceivers(aMembers, aLeader) < aSyncReplicas;
+    });
+}
+
+std::optional<std::string>
+ChooseNextLeader(const std::vector<failover_member>& aMembers,
+                 const std::string& aPrimary)
+{
+  const failover_member* best = nullptr;
+  const auto rank = [&aPrimary](const failover_member& aMember) {
+    return std::make_tuple(
+      aMember.mPosition, !aMember.mDraining, aMember.mId != aPrimary);
+  };
+  for (const failover_member& member : aMembers) {
+    if (member.mStopped && (best == nullptr || rank(*best) < rank(member))) {
+      best = &member;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  return best->mId;
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Decisions/clFailoverPlan.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "clLogPosition.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace catkinloom {
+
+/// One instance of a group during an attempt to replace the primary.
+struct failover_member
+{
+  std::string mId;
+  /// It takes no new work; it still counts for confirmations.
+  bool mDraining = false;
+  /// It was told to stop receiving, or to stop leading, and has said so.
+  bool mStopped = false;
+  /// End of its log when it said so.
+  log_position mPosition;
+};
+
+/// True when no commit can be acknowledged any more: every instance that may
+/// lead has stopped leading, or too few instances can confirm its commits.
+///
+/// aMayLead are the present primary and every instance whose promotion was
+/// ordered without an answer; a late order undoes that instance's own stop, so
+/// only the stops of the others count against it.
+bool
+IsEveryCommitStopped(const std::vector<failover_member>& aMembers,
+                     const std::string& aPrimary,
+                     const std::vector<std::string>& aMayLead,
+                     std::uint32_t aSyncReplicas);
+
+/// The stopped instance that holds every acknowledged commit and should lead:
+/// the longest log, and among equals one that stays, the present primary last.
+/// Empty when none was stopped.
+std::optional<std::string>
+ChooseNextLeader(const std::vector<failover_member>& aMembers,
+                 const std::string& aPrimary);
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Decisions/clInstanceSelector.cxx
@@ -0,0 +1,79 @@
+#include "clInstanceSelector.h"
+
+namespace catkinloom {
+
+namespace {
+
+/// Extra cost of a statement that crosses availability zones.  Source: bytes
+/// between zones are the dearest resource; a few milliseconds of waiting
+/// nearby are cheaper.
+constexpr milliseconds kZonePenalty{ 4 };
+
+/// Extra cost of the leader for work that a replica may do, so that the
+/// leader stays free for writes.
+constexpr milliseconds kLeaderPenalty{ 6 };
+
+/// Least answer time assumed of an instance that was never measured.
+constexpr milliseconds kLeastAnswerTime{ 2 };
+
+bool
+IsUsable(const instance_candidate& aCandidate,
+         const placement_need& aNeed,
+         std::size_t aIndex,
+         time_point aNow)
+{
+  const bool excluded = (aNeed.mExcluded >> aIndex & 1U) != 0;
+  if (excluded || aNow < aCandidate.mAvoidedUntil) {
+    return false;
+  }
+  if (aNeed.mLeaderOnly) {
+    return aCandidate.mLeads && aCandidate.mLeaderReady;
+  }
+  const bool behind = !aCandidate.mLeads && aNow < aCandidate.mLaggingUntil &&
+                      aCandidate.mPosition < aNeed.mFloor;
+  return !aCandidate.mDraining && !behind;
+}
+
+nanoseconds
+CostOf(const instance_candidate& aCandidate, const placement_need& aNeed)
+{
+  const nanoseconds answer =
+    std::max<nanoseconds>(aCandidate.mAnswerTime, kLeastAnswerTime);
+  const auto slots = std::max(aCandidate.mSlots, 1U);
+  nanoseconds cost = answer * (aCandidate.mInFlight + slots) / slots;
+  cost += aCandidate.mSameZone ? nanoseconds(0) : nanoseconds(kZonePenalty);
+  const bool spares = aCandidate.mLeads && !aNeed.mLeaderOnly;
+  cost += spares ? nanoseconds(kLeaderPenalty) : nanoseconds(0);
+  return cost;
+}
+
+} // namespace
+
+placement
+SelectInstance(const std::vector<instance_candidate>& aCandidates,
+               const placement_need& aNeed,
+               time_point aNow)
+{
+  placement chosen;
+  nanoseconds least = nanoseconds::max();
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    const instance_candidate& candidate = aCandidates[i];
+    if (!IsUsable(candidate, aNeed, i, aNow)) {
+      continue;
+    }
+    if (!candidate.mHasRoom) {
+      if (chosen.mEnd == placement_end::NoneUsable) {
+        chosen.mEnd = placement_end::AllBusy;
+      }
+      continue;
+    }
+    const nanoseconds cost = CostOf(candidate, aNeed);
+    if (cost < least) {
+      least = cost;
+      chosen = { placement_end::Chosen, i };
+    }
+  }
+  return chosen;
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Decisions/clLeadership.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "clClock.h"
+#include "clLogPosition.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace catkinloom {
+
+/// How far the replacement of a group's primary has come.
+enum class failover_phase
+{
+  /// mLeader leads, or will as soon as its promotion takes effect.
+  Settled,
+  /// A replacement may be under way: no new evidence of leadership may be
+  /// taken from the record.
+  Contested,
+};
+
+/// The store's record of who leads a group.  Every promotion goes through it.
+struct failover_record
+{
+  /// The store's revision of this record; 0 when none was ever written.
+  std::uint64_t mRevision = 0;
+  failover_phase mPhase = failover_phase::Settled;
+  /// Instance that leads; empty when the record never named one.
+  std::string mLeader;
+  /// End of the leader's log when it was chosen.
+  log_position mFloor;
+  /// Proxy that wrote the record.
+  std::string mHolder;
+  /// Instances whose promotion was ordered and may still take effect.
+  std::vector<std::string> mPossibleLeaders;
+
+  bool operator==(const failover_record&) const = default;
+};
+
+/// Timing of evidence; the same on every proxy.
+struct leadership_settings
+{
+  /// Time for which evidence of leadership is good, from when the question
+  /// was sent.  A promoter waits longer than this after it has made new
+  /// evidence impossible.
+  milliseconds mEvidenceLifetime{ 500 };
+  /// Share of the lifetime after which new evidence is asked for.
+  milliseconds mRenewAfter{ 300 };
+  /// Observations older than this are dropped; no route declares a larger age
+  /// that needs them.
+  milliseconds mObservationLifetime{ 4000 };
+};
+
+/// What one proxy knows about who leads one group, and since when.
+///
+/// Evidence says that at the moment the question was sent nobody else had been
+/// promoted.  It comes from the store (the record was Settled) or from the
+/// group itself (a commit was acknowledged, or a majority was not stopped).
+class group_leadership
+{
+public:
+  explicit group_leadership(leadership_settings aSettings = {})
+    : mSettings(aSettings)
+  {
+  }
+
+  /// Takes the store's record, read by a question sent at aSentAt.  Without
+  /// a record the directory's claim names the leader.
+  void OnRecord(const failover_record& aRecord, time_point aSentAt);
+
+  /// Takes a change of the record from a watch: it changes the belief but is
+  /// no evidence, since a watch may have been silent.
+  void OnRecordNews(const failover_record& aRecord);
+
+  /// Takes the directory's claim that an instance leads.
+  void OnClaim(const std::string& aInstance);
+
+  /// The leader acknowledged a commit, or a majority of the group's instances
+  /// was not stopped, by questions sent at aSentAt.
+  void OnGroupEvidence(const std::string& aLeader, time_point aSentAt);
+
+  /// The leader answered with this log end a question sent at aSentAt.
+  void OnLeaderPosition(const std::string& aLeader,
+                        log_position aPosition,
+                        time_point aSentAt);
+
+  /// Instance believed to lead; empty when unknown.
+  const std::string& Leader() const { return mLeader; }
+  const failover_record& Record() const { return mRecord; }
+
+  /// The leader was the only one at aMoment.
+  bool IsProvenAt(time_point aMoment) const;
+
+  /// New evidence should be asked for.
+  bool WantsEvidence(time_point aNow) const;
+
+  /// Position that holds every commit acknowledged before aMoment.  A log
+  /// that reaches it is fresh as of aMoment.  Empty when nothing proves one.
+  std::optional<log_position> FloorSince(time_point aMoment) const;
+
+  /// End of the leader's log at the promotion; a leader's answer must reach it.
+  log_position PromotionFloor() const { return mRecord.mFloor; }
+
+private:
+  struct observation
+  {
+    time_point mSentAt;
+    log_position mPosition;
+  };
+
+  void Adopt(const failover_record& aRecord);
+  void Extend(time_point aSentAt);
+
+  leadership_settings mSettings;
+  failover_record mRecord;
+  std::string mLeader;
+  time_point mProvenUntil;
+  std::deque<observation> mObservations;
+};
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Runtime/clLineStream.cxx
@@ -0,0 +1,280 @@
+#include "clLineStream.h"
+
+#include "clEndpoint.h"
+#include "clEventLoop.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <cstring>
+#include <sys/socket.h>
+
+namespace catkinloom {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+namespace {
+
+/// Bytes that one read asks for.  Source: a statement or answer of the
+/// deployments is 400 to 1,000 bytes.
+constexpr std::size_t kReadBytes = 4096;
+
+/// Time without an acknowledged packet after which the system gives a
+/// connection up, so that a silent peer is noticed while nothing is asked.
+constexpr int kUserTimeoutMs = 3000;
+
+void
+SetOptions(tcp::socket& aSocket)
+{
+  error_code ignored;
+  aSocket.set_option(tcp::no_delay(true), ignored);
+  aSocket.non_blocking(true, ignored);
+#ifdef TCP_USER_TIMEOUT
+  ::setsockopt(aSocket.native_handle(),
+               IPPROTO_TCP,
+               TCP_USER_TIMEOUT,
+               &kUserTimeoutMs,
+               sizeof(kUserTimeoutMs));
+#endif
+}
+
+} // namespace
+
+line_stream::line_stream(event_loop& aLoop, std::size_t aMaxLineBytes)
+  : mLoop(aLoop)
+  , mSocket(aLoop.Context())
+  , mTimer(aLoop.Context())
+  , mMaxLineBytes(aMaxLineBytes)
+{
+}
+
+line_stream::line_stream(event_loop& aLoop,
+                         socket_type aSocket,
+                         std::size_t aMaxLineBytes)
+  : mLoop(aLoop)
+  , mSocket(std::move(aSocket))
+  , mTimer(aLoop.Context())
+  , mMaxLineBytes(aMaxLineBytes)
+{
+  SetOptions(mSocket);
+}
+
+void
+line_stream::ArmLimit(nanoseconds aTimeout)
+{
+  mTimedOut = false;
+  mLimit = std::chrono::steady_clock::now() + aTimeout;
+  if (!mTimerAt || *mTimerAt > *mLimit) {
+    StartTimer(*mLimit);
+  }
+}
+
+void
+line_stream::StartTimer(std::chrono::steady_clock::time_point aAt)
+{
+  mTimerAt = aAt;
+  mTimer.expires_at(aAt);
+  mTimer.async_wait([self = weak_from_this()](const error_code& aCode) {
+    const auto stream = self.lock();
+    if (stream && !aCode) {
+      stream->OnTimer();
+    }
+  });
+}
+
+void
+line_stream::OnTimer()
+{
+  mTimerAt.reset();
+  if (!mLimit) {
+    return;
+  }
+  if (std::chrono::steady_clock::now() < *mLimit) {
+    StartTimer(*mLimit);
+    return;
+  }
+  mTimedOut = true;
+  Close();
+}
+
+result<void>
+line_stream::Connect(const std::string& aAddress, nanoseconds aTimeout)
+{
+  BOOST_OUTCOME_TRY(const tcp::endpoint endpoint, ParseEndpoint(aAddress));
+  error_code code;
+  fiber_wait wait;
+  const auto self = shared_from_this();
+  mBegin = mEnd = mSearched = 0;
+  ArmLimit(aTimeout);
+  mSocket.async_connect(endpoint, [&](const error_code& aResult) {
+    code = aResult;
+    wait.Notify();
+  });
+  wait.Wait();
+  DisarmLimit();
+  if (code || !mSocket.is_open()) {
+    Close();
+    return error{ error_kind::UpstreamUnreachable,
+                  aAddress + ": " +
+                    (mTimedOut ? "no answer in time" : code.message()) };
+  }
+  SetOptions(mSocket);
+  return boost::outcome_v2::success();
+}
+
+bool
+line_stream::Write(std::string_view aBytes, nanoseconds aTimeout)
+{
+  if (!mSocket.is_open()) {
+    return false;
+  }
+  error_code code;
+  const std::size_t sent =
+    mSocket.write_some(asio::buffer(aBytes.data(), aBytes.size()), code);
+  if (!code && sent == aBytes.size()) {
+    return true;
+  }
+  if (code && code != asio::error::would_block) {
+    Close();
+    return false;
+  }
+  const std::string_view rest = aBytes.substr(code ? 0 : sent);
+  fiber_wait wait;
+  const auto self = shared_from_this();
+  ArmLimit(aTimeout);
+  asio::async_write(mSocket,
+                    asio::buffer(rest.data(), rest.size()),
+                    [&](const error_code& aResult, std::size_t) {
+                      code = aResult;
+                      wait.Notify();
+                    });
+  wait.Wait();
+  DisarmLimit();
+  if (code) {
+    Close();
+  }
+  return !code;
+}
+
+bool
+line_stream::TakeLine(std::string_view& aLine)
+{
+  const void* found =
+    mSearched < mEnd
+      ? std::memchr(mBuffer.data() + mSearched, '\n', mEnd - mSearched)
+      : nullptr;
+  if (found == nullptr) {
+    mSearched = mEnd;
+    return false;
+  }
+  const std::size_t at =
+    static_cast<std::size_t>(static_cast<const char*>(found) - mBuffer.data());
+  std::size_t length = at - mBegin;
+  if (length > 0 && mBuffer[at - 1] == '\r') {
+    --length;
+  }
+  aLine = std::string_view(mBuffer).substr(mBegin, length);
+  mBegin = at + 1;
+  mSearched = mBegin;
+  return true;
+}
+
+bool
+line_stream::IsLineTooLong() const
+{
+  return mEnd - mBegin > mMaxLineBytes;
+}
+
+void
+line_stream::Prepare()
+{
+  if (mBegin > 0) {
+    std::memmove(mBuffer.data(), mBuffer.data() + mBegin, mEnd - mBegin);
+    mEnd -= mBegin;
+    mSearched -= mBegin;
+    mBegin = 0;
+  }
+  if (mBuffer.size() < mEnd + kReadBytes) {
+    mBuffer.resize(mEnd + kReadBytes);
+  }
+}
+
+line_read
+line_stream::ReadLine(std::string_view& aLine, nanoseconds aTimeout)
+{
+  if (TakeLine(aLine)) {
+    return line_read::Line;
+  }
+  const auto self = shared_from_this();
+  ArmLimit(aTimeout);
+  while (true) {
+    if (IsLineTooLong()) {
+      DisarmLimit();
+      return line_read::TooLong;
+    }
+    if (!mSocket.is_open()) {
+      DisarmLimit();
+      return mTimedOut ? line_read::TimedOut : line_read::Closed;
+    }
+    Prepare();
+    error_code code;
+    std::size_t got = 0;
+    fiber_wait wait;
+    mSocket.async_read_some(
+      asio::buffer(mBuffer.data() + mEnd, mBuffer.size() - mEnd),
+      [&](const error_code& aResult, std::size_t aBytes) {
+        code = aResult;
+        got = aBytes;
+        wait.Notify();
+      });
+    wait.Wait();
+    mEnd += got;
+    if (got > 0 && TakeLine(aLine)) {
+      DisarmLimit();
+      return line_read::Line;
+    }
+    if (code) {
+      DisarmLimit();
+      Close();
+      return mTimedOut ? line_read::TimedOut : line_read::Closed;
+    }
+  }
+}
+
+void
+line_stream::AwaitBytes(readable_handler aHandler)
+{
+  Prepare();
+  mSocket.async_read_some(
+    asio::buffer(mBuffer.data() + mEnd, mBuffer.size() - mEnd),
+    [self = shared_from_this(), handler = std::move(aHandler)](
+      const error_code& aResult, std::size_t aBytes) {
+      self->mEnd += aBytes;
+      if (aResult) {
+        self->Close();
+      }
+      handler(!aResult);
+    });
+}
+
+bool
+line_stream::IsQuiet()
+{
+  if (!mSocket.is_open() || mEnd != mBegin) {
+    return false;
+  }
+  char probe = 0;
+  const auto got =
+    ::recv(mSocket.native_handle(), &probe, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void
+line_stream::Close()
+{
+  error_code ignored;
+  mSocket.close(ignored);
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -0,0 +1,488 @@
+#include "clFailoverRunner.h"
+
+#include "clLog.h"
+#include "clStoreKeys.h"
+
+#include <algorithm>
+
+namespace catkinloom {
+
+namespace {
+
+/// Pause of one group's watch after a false alarm or a failed attempt.
+constexpr milliseconds kQuietAfterFalseAlarm{ 200 };
+
+/// Pause between two tries within an attempt.
+constexpr milliseconds kStepPause{ 30 };
+
+/// Lateness of a look that shows that this process itself stood still; what
+/// it believes of others' silence then says nothing.
+constexpr milliseconds kOwnStall{ 150 };
+
+/// How long, in evidence lifetimes, a promoter waits.  Source: clocks run
+/// within a tenth of each other; the same again for rounding.
+constexpr int kWaitPercent = 120;
+
+/// Longest time for one attempt.
+constexpr milliseconds kAttemptLimit{ 8000 };
+
+failover_member&
+MemberOf(std::vector<failover_member>& aMembers, const std::string& aId)
+{
+  for (failover_member& member : aMembers) {
+    if (member.mId == aId) {
+      return member;
+    }
+  }
+  failover_member added;
+  added.mId = aId;
+  return aMembers.emplace_back(std::move(added));
+}
+
+} // namespace
+
+std::string_view
+FailoverReasonName(failover_reason aReason)
+{
+  switch (aReason) {
+    case failover_reason::Silent:
+      return "silent";
+    case failover_reason::CommitsStuck:
+      return "commits_stuck";
+    case failover_reason::Leaving:
+      return "leaving";
+    case failover_reason::Missing:
+      return "missing";
+    case failover_reason::Unfinished:
+      return "unfinished";
+  }
+  return "silent";
+}
+
+void
+failover_runner::Run()
+{
+  mLookedAt = mContext.Now();
+  while (!mContext.mDraining) {
+    mContext.mLoop.Sleep(mContext.mSettings.mHealthInterval);
+    const time_point now = mContext.Now();
+    const bool stalled =
+      now - mLookedAt > mContext.mSettings.mHealthInterval + kOwnStall;
+    mLookedAt = now;
+    if (stalled) {
+      continue;
+    }
+    for (const auto& [service, group] : mContext.mGroups) {
+      const bool declared =
+        mContext.mDesired && mContext.mDesired->mServices.count(service) > 0;
+      if (declared) {
+        Look(*group, now);
+      }
+    }
+  }
+}
+
+void
+failover_runner::Look(upstream_group& aGroup, time_point aNow)
+{
+  group_watch& watch = mWatches[aGroup.Service()];
+  if (watch.mRunning || aNow < watch.mQuietUntil) {
+    return;
+  }
+  if (const auto reason = ReasonFor(aGroup, watch, aNow)) {
+    watch.mRunning = true;
+    Start(aGroup, *reason);
+  }
+}
+
+std::optional<failover_reason>
+failover_runner::ReasonFor(upstream_group& aGroup,
+                           group_watch& aWatch,
+                           time_point aNow) const
+{
+  const session_settings& settings = mContext.mSettings;
+  const failover_record& record = aGroup.Leadership().Record();
+  if (record.mPhase == failover_phase::Contested) {
+    if (aWatch.mContestedRevision != record.mRevision) {
+      aWatch.mContestedRevision = record.mRevision;
+      aWatch.mContestedSince = aNow;
+    }
+    const bool stale =
+      aNow - aWatch.mContestedSince >= settings.mAttemptLifetime;
+    return stale ? std::optional(failover_reason::Unfinished) : std::nullopt;
+  }
+  if (aGroup.Leadership().Leader().empty() || aGroup.Instances().empty()) {
+    return std::nullopt;
+  }
+  const auto leader = aGroup.Leader();
+  if (!leader) {
+    return failover_reason::Missing;
+  }
+  if (leader->mEntry.mDraining && aGroup.Instances().size() > 1) {
+    return failover_reason::Leaving;
+  }
+  if (leader->mHealth.SilentFor(aNow) >= settings.mLeaderSilence) {
+    return failover_reason::Silent;
+  }
+  if (leader->mHealth.CommitsSilentFor(aNow) >= settings.mCommitSilence) {
+    return failover_reason::CommitsStuck;
+  }
+  return std::nullopt;
+}
+
+void
+failover_runner::Start(upstream_group& aGroup, failover_reason aReason)
+{
+  mContext.mLoop.Spawn([this, &aGroup, aReason] {
+    if (Confirm(aGroup, aReason)) {
+      const bool done = Attempt(aGroup, aReason);
+      Log(log_level::Info,
+          "failover",
+          "Attempt ended. service={} done={}",
+          aGroup.Service(),
+          done);
+    }
+    group_watch& watch = mWatches[aGroup.Service()];
+    watch.mRunning = false;
+    watch.mQuietUntil = mContext.Now() + kQuietAfterFalseAlarm;
+  });
+}
+
+bool
+failover_runner::Confirm(upstream_group& aGroup, failover_reason aReason)
+{
+  const auto leader = aGroup.Leader();
+  if (aReason != failover_reason::Silent || !leader) {
+    return true;
+  }
+  const time_point askedAt = mContext.Now();
+  const auto status = aGroup.Order(*leader, instance_order::Status, 0);
+  const bool lives =
+    status || status.error().mKind == error_kind::UpstreamRefused;
+  if (lives) {
+    leader->mHealth.NoteSent(askedAt, false);
+    leader->mHealth.NoteAnswered(mContext.Now(), false);
+    return status && !status.value().mLeads &&
+           aGroup.Leadership().Record().mPhase == failover_phase::Settled &&
+           false;
+  }
+  // A proxy that reaches nobody is cut off itself and replaces nobody.
+  for (const auto& other : aGroup.Instances()) {
+    if (other != leader && aGroup.Order(*other, instance_order::Status, 0)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+term_number
+failover_runner::NewestTerm(const upstream_group& aGroup) const
+{
+  term_number newest = 0;
+  for (const auto& instance : aGroup.Instances()) {
+    newest = std::max(newest, instance->mPosition.mTerm);
+  }
+  return newest;
+}
+
+bool
+failover_runner::WriteRecord(attempt& aAttempt)
+{
+  const std::string key =
+    std::string(store_keys::kFailover) + aAttempt.mGroup.Service();
+  const auto written =
+    mContext.mPorts.mStore.Put(key,
+                               EncodeFailoverRecord(aAttempt.mRecord),
+                               aAttempt.mRecord.mRevision,
+                               0,
+                               mContext.mSettings.mStoreTimeout);
+  if (written && written.value().mEnd == store_write_end::Written) {
+    aAttempt.mRecord.mRevision = written.value().mRevision;
+    aAttempt.mGroup.Leadership().OnRecordNews(aAttempt.mRecord);
+    return true;
+  }
+  Log(log_level::Info,
+      "failover",
+      "Record not written. service={} expected={} cause={}",
+      aAttempt.mGroup.Service(),
+      aAttempt.mRecord.mRevision,
+      written ? "changed by another" : written.error().mDetail);
+  if (!written) {
+    // It may have been written all the same: look before the next try.
+    mContext.mRefreshLeadership();
+  }
+  return false;
+}
+
+bool
+failover_runner::Attempt(upstream_group& aGroup, failover_reason aReason)
+{
+  attempt now{ aGroup,
+               aReason,
+               aGroup.Leadership().Leader(),
+               aGroup.Leadership().Record(),
+               {},
+               {},
+               {} };
+  now.mGiveUpAt = mContext.Now() + kAttemptLimit;
+  now.mRecord.mPhase = failover_phase::Contested;
+  now.mRecord.mHolder = mContext.Name();
+  now.mRecord.mLeader = now.mPrimary;
+  Log(log_level::Info,
+      "failover",
+      "Attempt begins. service={} leader={} reason={} revision={}",
+      aGroup.Service(),
+      now.mPrimary,
+      FailoverReasonName(aReason),
+      now.mRecord.mRevision);
+  if (!WriteRecord(now)) {
+    return false;
+  }
+  while (mContext.Now() < now.mGiveUpAt) {
+    if (!StopCommits(now)) {
+      return false;
+    }
+    const auto chosen = ChooseNextLeader(now.mMembers, now.mPrimary);
+    if (!chosen) {
+      return false;
+    }
+    const nanoseconds wait =
+      nanoseconds(mContext.mSettings.mLeadership.mEvidenceLifetime) *
+      kWaitPercent / 100;
+    const nanoseconds left = now.mStoppedAt + wait - mContext.Now();
+    if (left > nanoseconds(0)) {
+      mContext.mLoop.Sleep(left);
+    }
+    if (OrderPromotion(now, *chosen)) {
+      if (Settle(now, *chosen)) {
+        AwaitEffect(now, *chosen);
+        return true;
+      }
+      return false;
+    }
+  }
+  return false;
+}
+
+void
+failover_runner::StopOnce(attempt& aAttempt)
+{
+  upstream_group& group = aAttempt.mGroup;
+  const term_number next = NewestTerm(group) + 1;
+  const auto instances = group.Instances();
+  std::size_t open = 0;
+  fiber_signal ended(mContext.mLoop);
+  for (const auto& instance : instances) {
+    failover_member& member = MemberOf(aAttempt.mMembers, instance->mEntry.mId);
+    member.mDraining = instance->mEntry.mDraining;
+    const bool isPrimary = instance->mEntry.mId == aAttempt.mPrimary;
+    const bool planned = aAttempt.mReason == failover_reason::Leaving;
+    if (member.mStopped || (planned && !isPrimary)) {
+      continue;
+    }
+    ++open;
+    const instance_order order =
+      isPrimary ? instance_order::StepDown : instance_order::Hold;
+    mContext.mLoop.Spawn([&, instance, order] {
+      const auto status = group.Order(*instance, order, next);
+      if (status) {
+        failover_member& answered =
+          MemberOf(aAttempt.mMembers, instance->mEntry.mId);
+        const bool stopped = order == instance_order::StepDown
+                               ? !status.value().mLeads
+                               : status.value().mHeldTerm >= next;
+        answered.mStopped = stopped;
+        answered.mPosition = status.value().mReceived;
+        instance->mPosition =
+          std::max(instance->mPosition, status.value().mReceived);
+      }
+      Log(log_level::Info,
+          "failover",
+          "Order answered. service={} instance={} order={} term={} "
+          "stopped={} log={}.{}",
+          group.Service(),
+          instance->mEntry.mId,
+          order == instance_order::StepDown ? "step_down" : "hold",
+          next,
+          status ? MemberOf(aAttempt.mMembers, instance->mEntry.mId).mStopped
+                 : false,
+          status ? status.value().mReceived.mTerm : 0,
+          status ? status.value().mReceived.mIndex : 0);
+      --open;
+      ended.Raise();
+    });
+  }
+  while (open > 0) {
+    ended.WaitUntil(mContext.Now() + mContext.mSettings.mOrderTimeout);
+  }
+}
+
+bool
+failover_runner::StopCommits(attempt& aAttempt)
+{
+  upstream_group& group = aAttempt.mGroup;
+  while (mContext.Now() < aAttempt.mGiveUpAt) {
+    // An instance that has left can confirm nothing any more.
+    std::erase_if(aAttempt.mMembers, [&](const failover_member& aMember) {
+      return aMember.mId != aAttempt.mPrimary && !group.Find(aMember.mId);
+    });
+    StopOnce(aAttempt);
+    const bool stopped = IsEveryCommitStopped(aAttempt.mMembers,
+                                              aAttempt.mPrimary,
+                                              aAttempt.mRecord.mPossibleLeaders,
+                                              group.Declared().mSyncReplicas);
+    if (stopped) {
+      aAttempt.mStoppedAt = mContext.Now();
+      if (aAttempt.mReason == failover_reason::Leaving) {
+        LevelWith(aAttempt);
+      }
+      return true;
+    }
+    if (aAttempt.mReason == failover_reason::Leaving) {
+      // The leader did not step down by itself: stop all others instead.
+      aAttempt.mReason = failover_reason::Silent;
+    }
+    mContext.mLoop.Sleep(kStepPause);
+  }
+  return false;
+}
+
+void
+failover_runner::LevelWith(attempt& aAttempt)
+{
+  upstream_group& group = aAttempt.mGroup;
+  const log_position end =
+    MemberOf(aAttempt.mMembers, aAttempt.mPrimary).mPosition;
+  const time_point until = mContext.Now() + mContext.mSettings.mHandOverWait;
+  while (mContext.Now() < until) {
+    for (const auto& instance : group.Instances()) {
+      if (instance->mEntry.mId == aAttempt.mPrimary ||
+          instance->mEntry.mDraining) {
+        continue;
+      }
+      const auto status = group.Order(*instance, instance_order::Status, 0);
+      if (status && status.value().mReceived >= end) {
+        failover_member& member =
+          MemberOf(aAttempt.mMembers, instance->mEntry.mId);
+        // Nothing can be added to its log, since nobody leads.
+        member.mStopped = true;
+        member.mPosition = status.value().mReceived;
+        return;
+      }
+    }
+    mContext.mLoop.Sleep(kStepPause);
+  }
+}
+
+bool
+failover_runner::OrderPromotion(attempt& aAttempt, const std::string& aChosen)
+{
+  auto& mayLead = aAttempt.mRecord.mPossibleLeaders;
+  if (std::find(mayLead.begin(), mayLead.end(), aChosen) == mayLead.end()) {
+    mayLead.push_back(aChosen);
+  }
+  // The order is on record before it is given, and its token is new.
+  if (!WriteRecord(aAttempt)) {
+    aAttempt.mGiveUpAt = mContext.Now();
+    return false;
+  }
+  const promotion_order order{ aAttempt.mGroup.Service(),
+                               aChosen,
+                               mContext.Name(),
+                               aAttempt.mRecord.mRevision };
+  mContext.mMetrics.mPromotions.Increment();
+  const promotion_end end = mContext.mPorts.mPromotions.Promote(
+    order, mContext.mSettings.mPromoteTimeout);
+  Log(log_level::Info,
+      "failover",
+      "Promotion ordered. service={} instance={} token={} end={}",
+      order.mService,
+      order.mInstance,
+      order.mFencingToken,
+      static_cast<int>(end));
+  if (end == promotion_end::Accepted) {
+    return true;
+  }
+  if (end == promotion_end::Refused || end == promotion_end::NotDone) {
+    std::erase(mayLead, aChosen);
+  }
+  if (end == promotion_end::Refused) {
+    // It does not run, or another attempt is newer: look again.
+    std::erase_if(aAttempt.mMembers, [&](const failover_member& aMember) {
+      return aMember.mId == aChosen;
+    });
+  }
+  mContext.mLoop.Sleep(kStepPause * 3);
+  return false;
+}
+
+bool
+failover_runner::Settle(attempt& aAttempt, const std::string& aLeader)
+{
+  aAttempt.mRecord.mPhase = failover_phase::Settled;
+  aAttempt.mRecord.mLeader = aLeader;
+  aAttempt.mRecord.mFloor = MemberOf(aAttempt.mMembers, aLeader).mPosition;
+  aAttempt.mRecord.mPossibleLeaders.clear();
+  const time_point until = mContext.Now() + mContext.mSettings.mPromoteEffect;
+  while (mContext.Now() < until) {
+    if (WriteRecord(aAttempt)) {
+      aAttempt.mGroup.WakeAll();
+      return true;
+    }
+    mContext.mLoop.Sleep(mContext.mSettings.mStoreRetryPause);
+    const failover_record& seen = aAttempt.mGroup.Leadership().Record();
+    if (seen.mRevision > aAttempt.mRecord.mRevision) {
+      return seen.mLeader == aLeader;
+    }
+  }
+  return false;
+}
+
+void
+failover_runner::AwaitEffect(attempt& aAttempt, const std::string& aLeader)
+{
+  upstream_group& group = aAttempt.mGroup;
+  const time_point until = mContext.Now() + mContext.mSettings.mPromoteEffect;
+  while (mContext.Now() < until) {
+    const auto leader = group.Find(aLeader);
+    if (!leader || group.Leadership().Leader() != aLeader) {
+      return;
+    }
+    const auto status = group.Order(*leader, instance_order::Status, 0);
+    if (status && status.value().mLeads) {
+      Log(log_level::Info,
+          "failover",
+          "Leader leads. service={} instance={} term={}",
+          group.Service(),
+          aLeader,
+          status.value().mTerm);
+      group.WakeAll();
+      ResumeOthers(aAttempt, aLeader);
+      return;
+    }
+    mContext.mLoop.Sleep(mContext.mSettings.mLeaderPause);
+  }
+}
+
+void
+failover_runner::ResumeOthers(attempt& aAttempt, const std::string& aLeader)
+{
+  upstream_group& group = aAttempt.mGroup;
+  for (const auto& instance : group.Instances()) {
+    if (instance->mEntry.mId == aLeader) {
+      continue;
+    }
+    const auto status = group.Order(*instance, instance_order::Status, 0);
+    if (status && status.value().mHeldTerm > status.value().mTerm) {
+      const auto resumed = group.Order(*instance, instance_order::Resume, 0);
+      Log(log_level::Info,
+          "failover",
+          "Instance told to receive again. service={} instance={} done={}",
+          group.Service(),
+          instance->mEntry.mId,
+          bool(resumed));
+    }
+  }
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Sessions/clFailoverRunner.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "clFailoverPlan.h"
+#include "clSessionContext.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace catkinloom {
+
+/// Why a group's leader is to be replaced.
+enum class failover_reason
+{
+  /// It answers nothing.
+  Silent,
+  /// Its commits reach no replica.
+  CommitsStuck,
+  /// It is leaving.
+  Leaving,
+  /// The directory no longer names it.
+  Missing,
+  /// Another proxy began to replace it and did not end.
+  Unfinished,
+};
+
+/// Watches the leaders and replaces the lost ones.
+///
+/// One attempt: claim the group's record in the store, stop enough instances
+/// that no commit can be acknowledged any more, choose the longest log, wait
+/// until every proxy's evidence of the old leader has lapsed, order the
+/// promotion under a token of its own, and settle the record.
+class failover_runner
+{
+public:
+  explicit failover_runner(session_context& aContext)
+    : mContext(aContext)
+  {
+  }
+
+  /// Watches until the process ends; runs in a fiber.
+  void Run();
+
+private:
+  /// One attempt on its way.
+  struct attempt
+  {
+    upstream_group& mGroup;
+    failover_reason mReason;
+    std::string mPrimary;
+    failover_record mRecord;
+    /// Every promotion ordered so far is in mRecord.mPossibleLeaders.
+    std::vector<failover_member> mMembers;
+    time_point mStoppedAt;
+    time_point mGiveUpAt;
+  };
+
+  struct group_watch
+  {
+    bool mRunning = false;
+    time_point mQuietUntil;
+    store_revision mContestedRevision = 0;
+    time_point mContestedSince;
+  };
+
+  void Look(upstream_group& aGroup, time_point aNow);
+  std::optional<failover_reason> ReasonFor(upstream_group& aGroup,
+                                           group_watch& aWatch,
+                                           time_point aNow) const;
+  void Start(upstream_group& aGroup, failover_reason aReason);
+  bool Confirm(upstream_group& aGroup, failover_reason aReason);
+  bool Attempt(upstream_group& aGroup, failover_reason aReason);
+  bool WriteRecord(attempt& aAttempt);
+  bool StopCommits(attempt& aAttempt);
+  void StopOnce(attempt& aAttempt);
+  void LevelWith(attempt& aAttempt);
+  bool OrderPromotion(attempt& aAttempt, const std::string& aChosen);
+  bool Settle(attempt& aAttempt, const std::string& aLeader);
+  void AwaitEffect(attempt& aAttempt, const std::string& aLeader);
+  void ResumeOthers(attempt& aAttempt, const std::string& aLeader);
+  term_number NewestTerm(const upstream_group& aGroup) const;
+
+  session_context& mContext;
+  std::map<std::string, group_watch> mWatches;
+  time_point mLookedAt;
+};
+
+/// Stable name of a reason for logs.
+std::string_view
+FailoverReasonName(failover_reason aReason);
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Sessions/clSessionContext.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "clCoordinationStore.h"
+#include "clDesiredState.h"
+#include "clDirectoryCodec.h"
+#include "clPromotionPort.h"
+#include "clSessionMetrics.h"
+#include "clUpstreamGroup.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace catkinloom {
+
+/// The adapters through which a proxy meets the outside.
+struct session_ports
+{
+  const statement_codec& mStatements;
+  const directory_codec& mDirectory;
+  coordination_store& mStore;
+  promotion_port& mPromotions;
+};
+
+/// What the parts of one proxy process share.
+struct session_context
+{
+  session_context(event_loop& aLoop,
+                  session_ports aPorts,
+                  session_settings aSettings,
+                  std::string aName,
+                  std::string aZone)
+    : mLoop(aLoop)
+    , mPorts(aPorts)
+    , mSettings(aSettings)
+    , mUpstreams{ aLoop, aPorts.mStatements, mSettings, aName, aZone, 1 }
+  {
+  }
+
+  time_point Now() const { return mLoop.Clock().Now(); }
+  const std::string& Name() const { return mUpstreams.mProxy; }
+
+  /// The group of a service; made when it is first asked for.
+  upstream_group& Group(const std::string& aService)
+  {
+    auto& group = mGroups[aService];
+    if (!group) {
+      group = std::make_unique<upstream_group>(mUpstreams, aService);
+    }
+    return *group;
+  }
+
+  event_loop& mLoop;
+  session_ports mPorts;
+  const session_settings mSettings;
+  upstream_environment mUpstreams;
+  session_metrics mMetrics;
+  /// In force; null until the first one is known.
+  std::shared_ptr<const desired_state> mDesired;
+  std::map<std::string, std::unique_ptr<upstream_group>> mGroups;
+  /// Asks the store anew who leads; set by the store's keeper.
+  std::function<void()> mRefreshLeadership;
+  bool mDraining = false;
+};
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Sessions/clSessionDaemon.cxx
@@ -0,0 +1,215 @@
+#include "clSessionDaemon.h"
+
+#include "clDecisionLog.h"
+#include "clEndpoint.h"
+#include "clLog.h"
+
+#include <vector>
+
+namespace catkinloom {
+
+using tcp = boost::asio::ip::tcp;
+
+namespace {
+
+/// Callers that may wait to be accepted.  Source: a zone's callers come back
+/// together when its other proxies restart.
+constexpr int kBacklog = 1024;
+
+/// Pace of looking at idle transactions and missing instances.
+constexpr milliseconds kHousekeeping{ 500 };
+
+/// Pace of looking whether everything has ended while draining.
+constexpr milliseconds kDrainStep{ 50 };
+
+http_server_limits
+SmallLimits()
+{
+  http_server_limits limits;
+  limits.mHeaderBytes = 4096;
+  limits.mBodyBytes = 4096;
+  return limits;
+}
+
+} // namespace
+
+session_daemon::session_daemon(event_loop& aLoop,
+                               session_ports aPorts,
+                               session_settings aSettings,
+                               session_listen_settings aListen,
+                               std::string aName,
+                               std::string aZone)
+  : mContext(aLoop, aPorts, aSettings, std::move(aName), std::move(aZone))
+  , mListen(std::move(aListen))
+  , mStatements(mContext)
+  , mKeeper(mContext)
+  , mFailover(mContext)
+  , mAcceptor(aLoop.Context())
+  , mReadyServer(aLoop, SmallLimits())
+  , mMetricsServer(aLoop, SmallLimits())
+{
+  mContext.mRefreshLeadership = [this] { mKeeper.RefreshLeadership(); };
+}
+
+result<void>
+session_daemon::Start()
+{
+  BOOST_OUTCOME_TRY(mReadyServer.Listen(
+    mListen.mReady, [this](http_request&, const http_peer&) {
+      return MakeResponse(IsReady() ? 200 : 503, "{}");
+    }));
+  BOOST_OUTCOME_TRY(mMetricsServer.Listen(
+    mListen.mMetrics, [this](http_request&, const http_peer&) {
+      return MakeResponse(200, mContext.mMetrics.Text());
+    }));
+  BOOST_OUTCOME_TRY(ListenForCallers());
+  mContext.mLoop.Spawn([this] { mKeeper.Run(); });
+  mContext.mLoop.Spawn([this] { mKeeper.RunRegistration(); });
+  mContext.mLoop.Spawn([this] { mFailover.Run(); });
+  mContext.mLoop.Spawn([this] { RunHousekeeping(); });
+  Log(log_level::Info,
+      "daemon",
+      "Session proxy started. name={} zone={} callers={} ready={} metrics={}",
+      mContext.Name(),
+      mContext.mUpstreams.mZone,
+      mListen.mCallers,
+      mListen.mReady,
+      mListen.mMetrics);
+  log_writer::Instance().Flush();
+  return boost::outcome_v2::success();
+}
+
+result<void>
+session_daemon::ListenForCallers()
+{
+  BOOST_OUTCOME_TRY(const tcp::endpoint endpoint,
+                    ParseEndpoint(mListen.mCallers));
+  boost::system::error_code code;
+  mAcceptor.open(endpoint.protocol(), code);
+  mAcceptor.set_option(tcp::acceptor::reuse_address(true), code);
+  mAcceptor.bind(endpoint, code);
+  if (!code) {
+    mAcceptor.listen(kBacklog, code);
+  }
+  if (code) {
+    return error{ error_kind::BadSettings,
+                  mListen.mCallers + ": " + code.message() };
+  }
+  Accept();
+  return boost::outcome_v2::success();
+}
+
+void
+session_daemon::Accept()
+{
+  mAcceptor.async_accept(
+    [this](const boost::system::error_code& aCode, tcp::socket aSocket) {
+      if (aCode == boost::asio::error::operation_aborted) {
+        return;
+      }
+      if (aCode) {
+        Log(log_level::Warning,
+            "caller",
+            "Connection not accepted. cause={}",
+            aCode.message());
+        mContext.mLoop.Spawn([this] {
+          mContext.mLoop.Sleep(kDrainStep);
+          Accept();
+        });
+        return;
+      }
+      AddSession(std::move(aSocket));
+      Accept();
+    });
+}
+
+void
+session_daemon::AddSession(tcp::socket aSocket)
+{
+  auto stream = std::make_shared<line_stream>(
+    mContext.mLoop, std::move(aSocket), mContext.mSettings.mMaxLineBytes);
+  auto session = std::make_shared<caller_session>(
+    mContext, mStatements, std::move(stream), [this](caller_session& aSession) {
+      mSessions.erase(aSession.shared_from_this());
+      mContext.mMetrics.mSessions.Set(static_cast<double>(mSessions.size()));
+    });
+  mSessions.insert(session);
+  mContext.mMetrics.mSessions.Set(static_cast<double>(mSessions.size()));
+  session->Start();
+}
+
+bool
+session_daemon::IsReady() const
+{
+  return !mContext.mDraining && mKeeper.IsComplete();
+}
+
+void
+session_daemon::RunHousekeeping()
+{
+  while (true) {
+    mContext.mLoop.Sleep(kHousekeeping);
+    const time_point now = mContext.Now();
+    mKeeper.ReviewInstances();
+    const std::vector<std::shared_ptr<caller_session>> sessions(
+      mSessions.begin(), mSessions.end());
+    for (const auto& session : sessions) {
+      session->EndIdleTransaction(now);
+    }
+    const std::uint64_t leftOut = decision_log_budget::Instance().TakeLeftOut();
+    mContext.mMetrics.mLogLinesLeftOut.Increment(static_cast<double>(leftOut));
+    if (IsReady() != mSaidReady) {
+      mSaidReady = IsReady();
+      Log(log_level::Info, "daemon", "Ready changed. ready={}", mSaidReady);
+    }
+  }
+}
+
+void
+session_daemon::Drain()
+{
+  if (mContext.mDraining) {
+    return;
+  }
+  mContext.mDraining = true;
+  Log(log_level::Info, "daemon", "Drain begins. sessions={}", mSessions.size());
+  mContext.mLoop.Spawn([this] { FinishDrain(); });
+}
+
+void
+session_daemon::FinishDrain()
+{
+  const session_settings& settings = mContext.mSettings;
+  const time_point start = mContext.Now();
+  mContext.mLoop.Sleep(settings.mDrainNotice);
+  while (mContext.Now() < start + settings.mDrainTimeout) {
+    const std::vector<std::shared_ptr<caller_session>> sessions(
+      mSessions.begin(), mSessions.end());
+    const bool cutTransactions =
+      mContext.Now() >= start + settings.mDrainTransactions;
+    for (const auto& session : sessions) {
+      const bool idleTransaction =
+        session->IsInTransaction() && !session->IsBusy();
+      if (cutTransactions && idleTransaction) {
+        session->Abort();
+      } else {
+        session->EndWhenIdle();
+      }
+    }
+    if (mSessions.empty()) {
+      break;
+    }
+    mContext.mLoop.Sleep(kDrainStep);
+  }
+  boost::system::error_code ignored;
+  mAcceptor.close(ignored);
+  Log(
+    log_level::Info, "daemon", "Drain ends. sessions_cut={}", mSessions.size());
+  mKeeper.Leave();
+  for (const auto& [service, group] : mContext.mGroups) {
+    group->CloseIdle();
+  }
+  mContext.mLoop.Stop();
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Sessions/clSessionSettings.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "clClock.h"
+#include "clLeadership.h"
+
+#include <cstdint>
+#include <string>
+
+namespace catkinloom {
+
+/// Limits and pace of session serving.  Units are in the types; where a figure
+/// comes from stands beside it.
+struct session_settings
+{
+  /// Longest line of a caller or an instance.  Source: the platform's pages
+  /// allow messages of 1 MiB.
+  std::size_t mMaxLineBytes = 1048576;
+  /// Time to connect to an instance and be accepted.  Source: a connection
+  /// costs 12 to 27 ms of a busy slot.
+  milliseconds mConnectTimeout{ 600 };
+  /// Time for a caller to take its answer before it is given up.
+  milliseconds mCallerWriteTimeout{ 5000 };
+  /// Time after which an idle connection is looked at before it is used.
+  milliseconds mIdleCheck{ 1000 };
+  /// Pause before an instance that refused a connection is tried again.
+  milliseconds mAvoidPause{ 200 };
+  /// Time for which a replica that lacked a position is not asked for newer
+  /// ones.
+  milliseconds mLaggingPause{ 100 };
+  /// Pause before the leader is asked again after it refused to lead.
+  milliseconds mLeaderPause{ 60 };
+  /// Longest wait for evidence of leadership.
+  milliseconds mProofWait{ 400 };
+  /// Longest wait for a leader while one is being replaced.
+  milliseconds mLeaderWait{ 1000 };
+  /// Time for the store to answer a call.
+  milliseconds mStoreTimeout{ 400 };
+  /// Longest wait of a watch, so that a silent connection is noticed soon.
+  milliseconds mWatchWait{ 1500 };
+  /// Pause between two complete readings of the store.  Source: a watch may
+  /// miss changes for a second; configuration must be in force within 3 s.
+  milliseconds mListInterval{ 2500 };
+  /// Pause after a failed call to the store.
+  milliseconds mStoreRetryPause{ 150 };
+  /// Life of this proxy's registration without renewal.
+  milliseconds mRegistrationLifetime{ 6000 };
+  milliseconds mRegistrationRenewal{ 2000 };
+  /// Age of an instance's missing entry after which it counts as gone.
+  /// Source: entries are back within two seconds of the store's return.
+  milliseconds mEntryGrace{ 2500 };
+  /// Silence of the leader under load after which it is probed.
+  milliseconds mLeaderSilence{ 250 };
+  /// Time without an acknowledged commit, while commits wait, after which the
+  /// leader counts as cut off from its replicas.
+  milliseconds mCommitSilence{ 600 };
+  /// Time for an instance to answer an order or a question.
+  milliseconds mOrderTimeout{ 250 };
+  /// Pace at which the leaders' silence is looked at.
+  milliseconds mHealthInterval{ 100 };
+  /// Time for other proxies to say whether they reach a leader.
+  milliseconds mVoteWait{ 250 };
+  /// Time after which another proxy takes an unfinished attempt over.
+  milliseconds mAttemptLifetime{ 2500 };
+  /// Wait for a replica to be level with a leader that stepped down.
+  milliseconds mHandOverWait{ 400 };
+  /// Time for the platform to answer a promotion order.
+  milliseconds mPromoteTimeout{ 500 };
+  /// Longest time for a promotion to take effect.  Source: 600 to 1,000 ms in
+  /// the deployments.
+  milliseconds mPromoteEffect{ 2500 };
+  /// Time in which the balancer takes note that this VM leaves.  Source: it
+  /// asks once a second and acts on the second miss.
+  milliseconds mDrainNotice{ 2200 };
+  /// Time in which an open transaction may end after a drain began.  Source:
+  /// half of the platform's grace of 6 s.
+  milliseconds mDrainTransactions{ 3000 };
+  /// Time after which the process ends, finished or not.
+  milliseconds mDrainTimeout{ 5000 };
+  leadership_settings mLeadership;
+};
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Sessions/clStatementService.cxx
@@ -0,0 +1,641 @@
+#include "clStatementService.h"
+
+#include "clLog.h"
+
+#include <array>
+
+namespace catkinloom {
+
+namespace {
+
+/// Tries of one statement before its caller is told to come back.
+constexpr std::uint32_t kMaxTries = 6;
+
+statement_outcome
+Fail(statement_error aError, std::string aDetail)
+{
+  statement_outcome outcome;
+  outcome.mError = aError;
+  outcome.mDetail = std::move(aDetail);
+  return outcome;
+}
+
+bool
+IsCommitLike(const statement& aStatement, access_mode aMode)
+{
+  return aStatement.mKind == statement_kind::Commit ||
+         aMode == access_mode::Write;
+}
+
+} // namespace
+
+statement_service::statement_service(session_context& aContext)
+  : mContext(aContext)
+{
+}
+
+statement_outcome
+statement_service::Serve(serving_session& aSession,
+                         const statement& aStatement,
+                         time_point aReceivedAt)
+{
+  static constexpr std::array<handler, 10> kHandlers{
+    &statement_service::Begin,      &statement_service::Commit,
+    &statement_service::Rollback,   &statement_service::Access,
+    &statement_service::Access,     &statement_service::SetValue,
+    &statement_service::Prepare,    &statement_service::Access,
+    &statement_service::Deallocate, &statement_service::Refuse,
+  };
+  const bool ends = aStatement.mKind == statement_kind::Commit ||
+                    aStatement.mKind == statement_kind::Rollback;
+  if (aSession.mState.mPhase == session_phase::TransactionFailed && !ends) {
+    return Fail(statement_error::Malformed, "the transaction has failed");
+  }
+  const auto kind = static_cast<std::size_t>(aStatement.mKind);
+  return (this->*kHandlers[kind])(aSession, aStatement, aReceivedAt);
+}
+
+bool
+statement_service::ResolveRoute(serving_session& aSession) const
+{
+  aSession.mDesired = mContext.mDesired;
+  aSession.mRoute = nullptr;
+  if (!aSession.mDesired) {
+    return false;
+  }
+  const auto found = aSession.mDesired->mRoutes.find(aSession.mDatabase);
+  if (found == aSession.mDesired->mRoutes.end()) {
+    return false;
+  }
+  aSession.mRoute = &found->second;
+  return true;
+}
+
+statement_outcome
+statement_service::Begin(serving_session& aSession,
+                         const statement& aStatement,
+                         time_point aReceivedAt)
+{
+  if (aSession.mTransaction) {
+    return Fail(statement_error::Malformed, "a transaction is open");
+  }
+  if (!ResolveRoute(aSession)) {
+    return Fail(statement_error::NoSuchDatabase, aSession.mDatabase);
+  }
+  aSession.mTransaction.emplace();
+  aSession.mTransaction->mBegin = aStatement;
+  aSession.mTransaction->mBeganAt = aReceivedAt;
+  aSession.mTransaction->mIdleSince = aReceivedAt;
+  aSession.mState.mPhase = session_phase::InTransaction;
+  return {};
+}
+
+statement_outcome
+statement_service::SetValue(serving_session& aSession,
+                            const statement& aStatement,
+                            time_point)
+{
+  aSession.mState.mValues[aStatement.mName] = aStatement.mContent;
+  return {};
+}
+
+statement_outcome
+statement_service::Prepare(serving_session& aSession,
+                           const statement& aStatement,
+                           time_point)
+{
+  aSession.mState.mPrepared[aStatement.mName] = { aStatement.mMode,
+                                                  aStatement.mContent };
+  return {};
+}
+
+statement_outcome
+statement_service::Deallocate(serving_session& aSession,
+                              const statement& aStatement,
+                              time_point)
+{
+  if (aSession.mState.mPrepared.erase(aStatement.mName) == 0) {
+    return Fail(statement_error::NoSuchStatement, aStatement.mName);
+  }
+  return {};
+}
+
+statement_outcome
+statement_service::Refuse(serving_session&, const statement&, time_point)
+{
+  return Fail(statement_error::Malformed, "unknown statement");
+}
+
+std::optional<prepared_statement>
+statement_service::PreparedOf(const serving_session& aSession,
+                              const statement& aStatement) const
+{
+  const auto found = aSession.mState.mPrepared.find(aStatement.mName);
+  if (found == aSession.mState.mPrepared.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+statement_outcome
+statement_service::Access(serving_session& aSession,
+                          const statement& aStatement,
+                          time_point aReceivedAt)
+{
+  access_mode mode = aStatement.mKind == statement_kind::Write
+                       ? access_mode::Write
+                       : access_mode::Read;
+  if (aStatement.mKind == statement_kind::Execute) {
+    const auto prepared = PreparedOf(aSession, aStatement);
+    if (!prepared) {
+      return Fail(statement_error::NoSuchStatement, aStatement.mName);
+    }
+    mode = prepared->mMode;
+  }
+  attempt attempt;
+  attempt.mReceivedAt = aReceivedAt;
+  if (aSession.mTransaction) {
+    attempt.mDeadline = aReceivedAt + aSession.mRoute->mStatementTimeout;
+    aSession.mTransaction->mWrote |= mode == access_mode::Write;
+    return AccessInTransaction(aSession, aStatement, attempt);
+  }
+  if (!ResolveRoute(aSession)) {
+    return Fail(statement_error::NoSuchDatabase, aSession.mDatabase);
+  }
+  attempt.mDeadline = aReceivedAt + aSession.mRoute->mStatementTimeout;
+  return AccessAlone(aSession, aStatement, mode, attempt);
+}
+
+nanoseconds
+statement_service::LeftOf(const attempt& aAttempt) const
+{
+  return std::max<nanoseconds>(aAttempt.mDeadline - mContext.Now(),
+                               milliseconds(1));
+}
+
+bool
+statement_service::AwaitProof(upstream_group& aGroup, attempt& aAttempt)
+{
+  group_leadership& leadership = aGroup.Leadership();
+  const time_point until = std::min(
+    aAttempt.mDeadline, mContext.Now() + mContext.mSettings.mProofWait);
+  if (leadership.WantsEvidence(mContext.Now())) {
+    mContext.mRefreshLeadership();
+  }
+  bool asked = false;
+  while (!leadership.IsProvenAt(aAttempt.mReceivedAt)) {
+    const time_point now = mContext.Now();
+    if (now >= until) {
+      return false;
+    }
+    // The store is asked first; the group itself when the store is slow or
+    // says that the leader may be replaced.
+    const time_point step = now + mContext.mSettings.mLeaderPause;
+    aGroup.Changed().WaitUntil(std::min(step, until));
+    if (!leadership.IsProvenAt(aAttempt.mReceivedAt) && !asked &&
+        mContext.Now() >= step) {
+      asked = true;
+      aGroup.AskGroup();
+    }
+  }
+  return true;
+}
+
+result<statement_service::freshness>
+statement_service::FreshnessFor(const serving_session& aSession,
+                                upstream_group& aGroup,
+                                access_mode aMode,
+                                attempt& aAttempt)
+{
+  freshness fresh;
+  const database_route& route = *aSession.mRoute;
+  if (route.mConsistency != read_consistency::Current) {
+    auto floor =
+      aGroup.Leadership().FloorSince(aAttempt.mReceivedAt - route.mMaxAge);
+    if (floor) {
+      if (route.mConsistency == read_consistency::ReadYourWrites) {
+        floor = std::max(*floor, aSession.mState.mFloor);
+      }
+      fresh.mFloor = floor;
+      fresh.mLeaderOnly = aMode == access_mode::Write;
+      return fresh;
+    }
+  }
+  const bool isPlainWrite =
+    aMode == access_mode::Write && !aSession.mTransaction;
+  if (!isPlainWrite && !AwaitProof(aGroup, aAttempt)) {
+    return error{ error_kind::NoCurrentPrimary, "leader not proven" };
+  }
+  return fresh;
+}
+
+result<connection_loan>
+statement_service::Borrow(const serving_session& aSession,
+                          upstream_group& aGroup,
+                          const freshness& aFreshness,
+                          attempt& aAttempt)
+{
+  loan_request request;
+  request.mSession = &aSession.mState;
+  request.mNeed.mLeaderOnly = aFreshness.mLeaderOnly;
+  request.mNeed.mFloor = aFreshness.mFloor.value_or(log_position{});
+  request.mNeed.mExcluded = aAttempt.mExcluded;
+  request.mPriority = aSession.mRoute->mPriority;
+  request.mDeadline = aAttempt.mDeadline;
+  return aGroup.Borrow(request);
+}
+
+std::optional<statement_error>
+statement_service::PrepareConnection(
+  const serving_session& aSession,
+  upstream_group& aGroup,
+  connection_loan& aLoan,
+  const std::optional<prepared_statement>& aNeeded,
+  nanoseconds aTimeout)
+{
+  connection_memory& memory = aLoan.mConnection->mMemory;
+  const connection_preparation plan =
+    PlanPreparation(aSession.mState, memory, aNeeded);
+  const statement_codec& codec = mContext.mPorts.mStatements;
+  const auto run = [&](const std::string& aBytes) {
+    mContext.mMetrics.mOwnStatements.Increment();
+    return aGroup.Exchange(aLoan, aBytes, aTimeout, false).IsDone();
+  };
+  bool ok = true;
+  if (plan.mReset) {
+    std::string bytes;
+    codec.AppendReset(bytes);
+    ok = run(bytes);
+  }
+  for (const auto& [name, value] : plan.mSetValues) {
+    std::string bytes;
+    codec.AppendSetValue(bytes, name, value);
+    ok = ok && run(bytes);
+  }
+  if (!plan.mPrepareName.empty()) {
+    std::string bytes;
+    codec.AppendPrepare(
+      bytes, plan.mPrepareName, plan.mPrepare.mMode, plan.mPrepare.mShape);
+    ok = ok && run(bytes);
+  }
+  if (!ok) {
+    // What the connection holds now is not known.
+    aLoan.mConnection->Close();
+    return statement_error::Busy;
+  }
+  ApplyPreparation(plan, memory);
+  return std::nullopt;
+}
+
+std::string
+statement_service::Encode(const statement& aStatement,
+                          const std::optional<prepared_statement>& aPrepared,
+                          std::optional<log_position> aFloor) const
+{
+  std::string bytes;
+  const statement_codec& codec = mContext.mPorts.mStatements;
+  if (aPrepared) {
+    codec.AppendExecute(bytes,
+                        aStatement.mId,
+                        SharedNameOf(*aPrepared),
+                        aStatement.mContent,
+                        aFloor);
+  } else {
+    codec.AppendStatement(bytes, aStatement.mId, aStatement.mText, aFloor);
+  }
+  return bytes;
+}
+
+bool
+statement_service::MayTryAgain(upstream_group& aGroup,
+                               const upstream_instance& aInstance,
+                               const statement_reply& aReply,
+                               access_mode aMode,
+                               attempt& aAttempt)
+{
+  const bool notRun =
+    aReply.mOutcome == exchange_outcome::NotSent ||
+    (aReply.IsAnswered() && aReply.mError && IsNothingKept(*aReply.mError));
+  const bool harmless = aMode == access_mode::Read &&
+                        (aReply.mOutcome == exchange_outcome::Broken ||
+                         aReply.Is(statement_error::Failed));
+  if (!(notRun || harmless) || aAttempt.mTries >= kMaxTries ||
+      mContext.Now() >= aAttempt.mDeadline) {
+    return false;
+  }
+  mContext.mMetrics.mRetries.Increment();
+  if (aReply.Is(statement_error::ReadOnly)) {
+    mContext.mRefreshLeadership();
+    aGroup.Changed().WaitUntil(std::min(
+      aAttempt.mDeadline, mContext.Now() + mContext.mSettings.mLeaderPause));
+    return true;
+  }
+  const bool leads = aInstance.mEntry.mId == aGroup.Leadership().Leader();
+  if (!leads) {
+    aAttempt.mExcluded |= aGroup.BitOf(aInstance);
+  }
+  return true;
+}
+
+void
+statement_service::CountRead(const upstream_group& aGroup,
+                             const upstream_instance& aInstance)
+{
+  const bool leads = aInstance.mEntry.mId ==
+                     const_cast<upstream_group&>(aGroup).Leadership().Leader();
+  (leads ? mContext.mMetrics.mReadsByLeader : mContext.mMetrics.mReadsByReplica)
+    .Increment();
+}
+
+statement_outcome
+statement_service::AccessAlone(serving_session& aSession,
+                               const statement& aStatement,
+                               access_mode aMode,
+                               attempt& aAttempt)
+{
+  upstream_group& group = GroupOf(aSession);
+  std::optional<prepared_statement> prepared;
+  if (aStatement.mKind == statement_kind::Execute) {
+    prepared = PreparedOf(aSession, aStatement);
+  }
+  while (true) {
+    ++aAttempt.mTries;
+    const auto fresh = FreshnessFor(aSession, group, aMode, aAttempt);
+    if (!fresh) {
+      return Fail(statement_error::Busy, fresh.error().mDetail);
+    }
+    auto borrowed = Borrow(aSession, group, fresh.value(), aAttempt);
+    if (!borrowed) {
+      return Fail(statement_error::Busy, borrowed.error().mDetail);
+    }
+    connection_loan loan = std::move(borrowed.value());
+    const std::shared_ptr<upstream_instance> instance = loan.mInstance;
+    if (PrepareConnection(aSession, group, loan, prepared, LeftOf(aAttempt))) {
+      group.Return(std::move(loan));
+      if (aAttempt.mTries < kMaxTries && mContext.Now() < aAttempt.mDeadline) {
+        continue;
+      }
+      return Fail(statement_error::Busy,
+                  "connection lost before the statement");
+    }
+    const bool isWrite = aMode == access_mode::Write;
+    const auto floor = isWrite ? std::nullopt : fresh.value().mFloor;
+    statement_reply reply = group.Exchange(
+      loan, Encode(aStatement, prepared, floor), LeftOf(aAttempt), isWrite);
+    if (reply.IsAnswered() && reply.mPhase != session_phase::Idle) {
+      // A lone statement leaves no transaction; what this is is not known.
+      loan.mConnection->Close();
+    }
+    group.Return(std::move(loan));
+    if (reply.IsDone()) {
+      if (isWrite && reply.mPosition) {
+        aSession.mState.mFloor =
+          std::max(aSession.mState.mFloor, *reply.mPosition);
+      }
+      if (!isWrite) {
+        CountRead(group, *instance);
+      }
+      statement_outcome outcome;
+      outcome.mLines = std::move(reply.mLines);
+      outcome.mPosition = reply.mPosition;
+      outcome.mInstance = instance->mEntry.mId;
+      outcome.mTries = aAttempt.mTries;
+      return outcome;
+    }
+    if (MayTryAgain(group, *instance, reply, aMode, aAttempt)) {
+      continue;
+    }
+    statement_outcome outcome;
+    outcome.mInstance = instance->mEntry.mId;
+    outcome.mTries = aAttempt.mTries;
+    if (reply.IsAnswered()) {
+      outcome.mError = reply.mError;
+      outcome.mDetail = "answered by the instance";
+      return outcome;
+    }
+    outcome.mError = reply.mOutcome == exchange_outcome::TimedOut
+                       ? statement_error::TimedOut
+                     : isWrite ? statement_error::InDoubt
+                               : statement_error::Failed;
+    outcome.mDetail = "no answer from the instance";
+    return outcome;
+  }
+}
+
+std::optional<statement_outcome>
+statement_service::OpenTransaction(serving_session& aSession, attempt& aAttempt)
+{
+  upstream_group& group = GroupOf(aSession);
+  open_transaction& transaction = *aSession.mTransaction;
+  const access_mode mode = transaction.mBegin.mMode;
+  attempt attempt = aAttempt;
+  attempt.mReceivedAt = transaction.mBeganAt;
+  while (true) {
+    ++attempt.mTries;
+    const auto fresh = FreshnessFor(aSession, group, mode, attempt);
+    if (!fresh) {
+      return FailTransaction(
+        aSession, statement_error::Busy, fresh.error().mDetail);
+    }
+    auto borrowed = Borrow(aSession, group, fresh.value(), attempt);
+    if (!borrowed) {
+      return FailTransaction(
+        aSession, statement_error::Busy, borrowed.error().mDetail);
+    }
+    connection_loan loan = std::move(borrowed.value());
+    const std::shared_ptr<upstream_instance> instance = loan.mInstance;
+    statement_reply reply;
+    if (!PrepareConnection(
+          aSession, group, loan, std::nullopt, LeftOf(attempt))) {
+      reply = group.Exchange(
+        loan,
+        Encode(transaction.mBegin, std::nullopt, fresh.value().mFloor),
+        LeftOf(attempt),
+        false);
+    }
+    if (reply.IsDone()) {
+      transaction.mLoan = std::move(loan);
+      aAttempt.mTries = attempt.mTries;
+      return std::nullopt;
+    }
+    group.Return(std::move(loan));
+    // A transaction that was only begun keeps nothing.
+    if (!MayTryAgain(group, *instance, reply, access_mode::Read, attempt)) {
+      return FailTransaction(
+        aSession, statement_error::Aborted, "the transaction did not begin");
+    }
+  }
+}
+
+statement_outcome
+statement_service::FailTransaction(serving_session& aSession,
+                                   statement_error aError,
+                                   std::string aDetail)
+{
+  EndTransaction(aSession, false);
+  aSession.mTransaction.emplace();
+  aSession.mState.mPhase = session_phase::TransactionFailed;
+  return Fail(aError, std::move(aDetail));
+}
+
+statement_outcome
+statement_service::AccessInTransaction(serving_session& aSession,
+                                       const statement& aStatement,
+                                       attempt& aAttempt)
+{
+  open_transaction& transaction = *aSession.mTransaction;
+  if (!transaction.mLoan) {
+    if (auto failed = OpenTransaction(aSession, aAttempt)) {
+      return *failed;
+    }
+  }
+  upstream_group& group = GroupOf(aSession);
+  std::optional<prepared_statement> prepared;
+  if (aStatement.mKind == statement_kind::Execute) {
+    prepared = PreparedOf(aSession, aStatement);
+  }
+  const std::string instance = transaction.mLoan.mInstance->mEntry.mId;
+  if (PrepareConnection(
+        aSession, group, transaction.mLoan, prepared, LeftOf(aAttempt))) {
+    return FailTransaction(
+      aSession, statement_error::Aborted, "connection lost");
+  }
+  statement_reply reply =
+    group.Exchange(transaction.mLoan,
+                   Encode(aStatement, prepared, std::nullopt),
+                   LeftOf(aAttempt),
+                   false);
+  transaction.mIdleSince = mContext.Now();
+  if (reply.IsDone()) {
+    statement_outcome outcome;
+    outcome.mLines = std::move(reply.mLines);
+    outcome.mPosition = reply.mPosition;
+    outcome.mInstance = instance;
+    outcome.mTries = aAttempt.mTries;
+    return outcome;
+  }
+  // The commit was not asked for, so nothing of the transaction is kept.
+  const statement_error error =
+    reply.IsAnswered() && IsNothingKept(*reply.mError)
+      ? *reply.mError
+      : statement_error::Aborted;
+  statement_outcome outcome = FailTransaction(
+    aSession,
+    error,
+    reply.IsAnswered() ? "refused by the instance" : "no answer");
+  outcome.mInstance = instance;
+  return outcome;
+}
+
+statement_outcome
+statement_service::Commit(serving_session& aSession,
+                          const statement& aStatement,
+                          time_point aReceivedAt)
+{
+  if (!aSession.mTransaction) {
+    return Fail(statement_error::Malformed, "no transaction is open");
+  }
+  if (aSession.mState.mPhase == session_phase::TransactionFailed) {
+    EndTransaction(aSession, false);
+    return Fail(statement_error::Aborted, "the transaction had failed");
+  }
+  attempt attempt;
+  attempt.mReceivedAt = aReceivedAt;
+  attempt.mDeadline = aReceivedAt + aSession.mRoute->mStatementTimeout;
+  if (!aSession.mTransaction->mLoan) {
+    if (auto failed = OpenTransaction(aSession, attempt)) {
+      EndTransaction(aSession, false);
+      return *failed;
+    }
+  }
+  open_transaction& transaction = *aSession.mTransaction;
+  upstream_group& group = GroupOf(aSession);
+  const bool wrote = transaction.mWrote;
+  statement_reply reply =
+    group.Exchange(transaction.mLoan,
+                   Encode(aStatement, std::nullopt, std::nullopt),
+                   LeftOf(attempt),
+                   wrote);
+  statement_outcome outcome;
+  outcome.mInstance = transaction.mLoan.mInstance->mEntry.mId;
+  outcome.mPosition = reply.mPosition;
+  EndTransaction(aSession,
+                 reply.IsAnswered() && reply.mPhase == session_phase::Idle);
+  if (reply.IsDone()) {
+    if (wrote && reply.mPosition) {
+      aSession.mState.mFloor =
+        std::max(aSession.mState.mFloor, *reply.mPosition);
+    }
+    outcome.mLines = std::move(reply.mLines);
+    return outcome;
+  }
+  outcome.mDetail = "commit not acknowledged";
+  if (reply.IsAnswered()) {
+    outcome.mError = reply.mError;
+  } else if (!wrote || reply.mOutcome == exchange_outcome::NotSent) {
+    outcome.mError = statement_error::Aborted;
+  } else {
+    outcome.mError = reply.mOutcome == exchange_outcome::TimedOut
+                       ? statement_error::TimedOut
+                       : statement_error::InDoubt;
+  }
+  return outcome;
+}
+
+statement_outcome
+statement_service::Rollback(serving_session& aSession,
+                            const statement&,
+                            time_point)
+{
+  if (!aSession.mTransaction) {
+    return Fail(statement_error::Malformed, "no transaction is open");
+  }
+  EndTransaction(aSession, false);
+  return {};
+}
+
+void
+statement_service::EndTransaction(serving_session& aSession, bool aIsClean)
+{
+  if (!aSession.mTransaction) {
+    return;
+  }
+  connection_loan loan = std::move(aSession.mTransaction->mLoan);
+  aSession.mTransaction.reset();
+  aSession.mState.mPhase = session_phase::Idle;
+  if (!loan) {
+    return;
+  }
+  upstream_group& group = GroupOf(aSession);
+  if (aIsClean || !loan.mConnection->IsOpen()) {
+    group.Return(std::move(loan));
+    return;
+  }
+  RollBackThenReturn(group, std::move(loan));
+}
+
+void
+statement_service::RollBackThenReturn(upstream_group& aGroup,
+                                      connection_loan aLoan)
+{
+  auto shared = std::make_shared<connection_loan>(std::move(aLoan));
+  mContext.mLoop.Spawn([this, &aGroup, shared] {
+    std::string bytes;
+    mContext.mPorts.mStatements.AppendRollback(bytes);
+    mContext.mMetrics.mOwnStatements.Increment();
+    const statement_reply reply = aGroup.Exchange(
+      *shared, bytes, mContext.mSettings.mConnectTimeout, false);
+    if (!reply.IsDone()) {
+      shared->mConnection->Close();
+    }
+    aGroup.Return(std::move(*shared));
+  });
+}
+
+void
+statement_service::Abandon(serving_session& aSession)
+{
+  EndTransaction(aSession, false);
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Sessions/clStatementService.h
@@ -0,0 +1,175 @@
+#pragma once
+
+#include "clSessionContext.h"
+#include "clSessionState.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace catkinloom {
+
+/// A caller's transaction and the upstream connection that it holds.
+struct open_transaction
+{
+  statement mBegin;
+  /// When the caller began it.
+  time_point mBeganAt;
+  /// When its last statement was answered.
+  time_point mIdleSince;
+  /// Empty until its first statement needs an instance.
+  connection_loan mLoan;
+  bool mWrote = false;
+};
+
+/// One caller's session as statements run in it.
+struct serving_session
+{
+  std::string mDatabase;
+  session_state mState;
+  std::optional<open_transaction> mTransaction;
+  /// The route of the present statement or transaction.
+  std::shared_ptr<const desired_state> mDesired;
+  const database_route* mRoute = nullptr;
+};
+
+/// How one statement was answered.
+struct statement_outcome
+{
+  /// Empty when it succeeded.
+  std::optional<statement_error> mError;
+  std::string mDetail;
+  /// The instance's own lines; empty when the proxy answers itself.
+  std::string mLines;
+  std::optional<log_position> mPosition;
+  /// For the log: who served it, and how often it was tried.
+  std::string mInstance;
+  std::uint32_t mTries = 0;
+};
+
+/// Runs callers' statements on upstream instances: chooses the instance,
+/// prepares its connection, checks that its data is fresh enough, and decides
+/// what the caller may be told.
+class statement_service
+{
+public:
+  explicit statement_service(session_context& aContext);
+
+  /// Runs one statement that came at aReceivedAt.
+  statement_outcome Serve(serving_session& aSession,
+                          const statement& aStatement,
+                          time_point aReceivedAt);
+
+  /// Ends a transaction that its caller left, or that was idle too long.
+  void Abandon(serving_session& aSession);
+
+private:
+  using handler = statement_outcome (statement_service::*)(serving_session&,
+                                                           const statement&,
+                                                           time_point);
+
+  /// One statement on its way to an instance.
+  struct attempt
+  {
+    time_point mReceivedAt;
+    time_point mDeadline;
+    std::uint32_t mExcluded = 0;
+    std::uint32_t mTries = 0;
+  };
+
+  /// What an instance must be asked so that its data is fresh enough.
+  struct freshness
+  {
+    bool mLeaderOnly = true;
+    std::optional<log_position> mFloor;
+  };
+
+  statement_outcome Begin(serving_session& aSession,
+                          const statement& aStatement,
+                          time_point aReceivedAt);
+  statement_outcome Commit(serving_session& aSession,
+                           const statement& aStatement,
+                           time_point aReceivedAt);
+  statement_outcome Rollback(serving_session& aSession,
+                             const statement& aStatement,
+                             time_point aReceivedAt);
+  statement_outcome Access(serving_session& aSession,
+                           const statement& aStatement,
+                           time_point aReceivedAt);
+  statement_outcome SetValue(serving_session& aSession,
+                             const statement& aStatement,
+                             time_point aReceivedAt);
+  statement_outcome Prepare(serving_session& aSession,
+                            const statement& aStatement,
+                            time_point aReceivedAt);
+  statement_outcome Deallocate(serving_session& aSession,
+                               const statement& aStatement,
+                               time_point aReceivedAt);
+  statement_outcome Refuse(serving_session& aSession,
+                           const statement& aStatement,
+                           time_point aReceivedAt);
+
+  statement_outcome AccessAlone(serving_session& aSession,
+                                const statement& aStatement,
+                                access_mode aMode,
+                                attempt& aAttempt);
+  statement_outcome AccessInTransaction(serving_session& aSession,
+                                        const statement& aStatement,
+                                        attempt& aAttempt);
+
+  /// Begins the transaction at an instance; empty on success.
+  std::optional<statement_outcome> OpenTransaction(serving_session& aSession,
+                                                   attempt& aAttempt);
+
+  /// Works out what makes a read fresh enough; waits for evidence if needed.
+  result<freshness> FreshnessFor(const serving_session& aSession,
+                                 upstream_group& aGroup,
+                                 access_mode aMode,
+                                 attempt& aAttempt);
+  bool AwaitProof(upstream_group& aGroup, attempt& aAttempt);
+
+  result<connection_loan> Borrow(const serving_session& aSession,
+                                 upstream_group& aGroup,
+                                 const freshness& aFreshness,
+                                 attempt& aAttempt);
+
+  /// Brings a connection to the session's values; the error that stops it.
+  std::optional<statement_error> PrepareConnection(
+    const serving_session& aSession,
+    upstream_group& aGroup,
+    connection_loan& aLoan,
+    const std::optional<prepared_statement>& aNeeded,
+    nanoseconds aTimeout);
+
+  std::string Encode(const statement& aStatement,
+                     const std::optional<prepared_statement>& aPrepared,
+                     std::optional<log_position> aFloor) const;
+
+  /// True when the statement surely did not run and may be tried elsewhere.
+  bool MayTryAgain(upstream_group& aGroup,
+                   const upstream_instance& aInstance,
+                   const statement_reply& aReply,
+                   access_mode aMode,
+                   attempt& aAttempt);
+
+  statement_outcome FailTransaction(serving_session& aSession,
+                                    statement_error aError,
+                                    std::string aDetail);
+  void EndTransaction(serving_session& aSession, bool aIsClean);
+  void RollBackThenReturn(upstream_group& aGroup, connection_loan aLoan);
+  bool ResolveRoute(serving_session& aSession) const;
+  std::optional<prepared_statement> PreparedOf(
+    const serving_session& aSession,
+    const statement& aStatement) const;
+  upstream_group& GroupOf(const serving_session& aSession)
+  {
+    return mContext.Group(aSession.mRoute->mService);
+  }
+  nanoseconds LeftOf(const attempt& aAttempt) const;
+  void CountRead(const upstream_group& aGroup,
+                 const upstream_instance& aInstance);
+
+  session_context& mContext;
+};
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Sessions/clStoreKeys.cxx
@@ -0,0 +1,54 @@
+#include "clStoreKeys.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value_to.hpp>
+
+namespace catkinloom {
+
+namespace json = boost::json;
+
+std::string
+EncodeFailoverRecord(const failover_record& aRecord)
+{
+  json::array mayLead;
+  for (const std::string& instance : aRecord.mPossibleLeaders) {
+    mayLead.emplace_back(instance);
+  }
+  const json::object body{
+    { "contested", aRecord.mPhase == failover_phase::Contested },
+    { "leader", aRecord.mLeader },
+    { "floor_term", aRecord.mFloor.mTerm },
+    { "floor_index", aRecord.mFloor.mIndex },
+    { "holder", aRecord.mHolder },
+    { "may_lead", std::move(mayLead) },
+  };
+  return json::serialize(body);
+}
+
+result<failover_record>
+DecodeFailoverRecord(std::string_view aValue)
+{
+  try {
+    const json::value parsed = json::parse({ aValue.data(), aValue.size() });
+    const json::object& body = parsed.as_object();
+    failover_record record;
+    record.mPhase = body.at("contested").as_bool() ? failover_phase::Contested
+                                                   : failover_phase::Settled;
+    record.mLeader = json::value_to<std::string>(body.at("leader"));
+    record.mFloor.mTerm = body.at("floor_term").to_number<std::uint64_t>();
+    record.mFloor.mIndex = body.at("floor_index").to_number<std::uint64_t>();
+    record.mHolder = json::value_to<std::string>(body.at("holder"));
+    for (const json::value& instance : body.at("may_lead").as_array()) {
+      record.mPossibleLeaders.push_back(json::value_to<std::string>(instance));
+    }
+    return record;
+  } catch (const std::exception& failure) {
+    return error{ error_kind::BadManifest,
+                  std::string("failover record: ") + failure.what() };
+  }
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Sessions/clStoreKeys.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "clError.h"
+#include "clLeadership.h"
+
+#include <string>
+#include <string_view>
+
+namespace catkinloom {
+
+/// Where this product keeps its own matters in the coordination store.
+namespace store_keys {
+constexpr std::string_view kOwn = "catkinloom/";
+/// One failover record for each service.
+constexpr std::string_view kFailover = "catkinloom/failover/";
+/// One key for each live proxy, under its lease.
+constexpr std::string_view kProxies = "catkinloom/proxies/";
+}
+
+/// Writes a failover record as it is stored; its revision is the store's.
+std::string
+EncodeFailoverRecord(const failover_record& aRecord);
+
+/// Errors: BadManifest when the value can't be read.
+result<failover_record>
+DecodeFailoverRecord(std::string_view aValue);
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -0,0 +1,459 @@
+#include "clUpstreamGroup.h"
+
+#include "clLog.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+
+namespace catkinloom {
+
+namespace {
+
+/// Weight of one answer in the smoothed answer time.
+constexpr int kSmoothing = 8;
+
+} // namespace
+
+upstream_group::upstream_group(upstream_environment& aEnvironment,
+                               std::string aService)
+  : mEnvironment(aEnvironment)
+  , mService(std::move(aService))
+  , mLeadership(aEnvironment.mSettings.mLeadership)
+  , mChanged(aEnvironment.mLoop)
+{
+}
+
+std::shared_ptr<upstream_instance>
+upstream_group::Find(const std::string& aId) const
+{
+  for (const auto& instance : mInstances) {
+    if (instance->mEntry.mId == aId) {
+      return instance;
+    }
+  }
+  return nullptr;
+}
+
+std::shared_ptr<upstream_instance>
+upstream_group::Leader() const
+{
+  return Find(mLeadership.Leader());
+}
+
+std::uint32_t
+upstream_group::BitOf(const upstream_instance& aInstance) const
+{
+  for (std::size_t i = 0; i < mInstances.size(); ++i) {
+    if (mInstances[i].get() == &aInstance) {
+      return 1U << i;
+    }
+  }
+  return 0;
+}
+
+std::uint32_t
+upstream_group::ShareOf() const
+{
+  const std::uint32_t proxies = std::max(mEnvironment.mProxies, 1U);
+  return std::max(mDeclared.mMaxConnections / proxies, 1U);
+}
+
+void
+upstream_group::ApplyEntries(const std::vector<instance_entry>& aEntries)
+{
+  std::vector<std::shared_ptr<upstream_instance>> next;
+  for (const instance_entry& entry : aEntries) {
+    auto instance = Find(entry.mId);
+    const bool sameLife = instance &&
+                          instance->mEntry.mAddress == entry.mAddress &&
+                          instance->mEntry.mStartedAt == entry.mStartedAt;
+    if (!sameLife) {
+      if (instance) {
+        instance->mGone = true;
+        instance->mIdle.clear();
+      }
+      instance = std::make_shared<upstream_instance>();
+    }
+    if (!sameLife || !(instance->mEntry == entry)) {
+      Log(log_level::Info,
+          "directory",
+          "Instance known. service={} instance={} zone={} leads={} draining={}",
+          mService,
+          entry.mId,
+          entry.mZone,
+          entry.mLeads,
+          entry.mDraining);
+    }
+    if (!sameLife || instance->mEntry.mLeads != entry.mLeads) {
+      instance->mSaidLeads = entry.mLeads;
+    }
+    instance->mEntry = entry;
+    instance->mMissingSince.reset();
+    if (entry.mLeads) {
+      mLeadership.OnClaim(entry.mId);
+    }
+    next.push_back(std::move(instance));
+  }
+  for (const auto& former : mInstances) {
+    const bool kept = std::find(next.begin(), next.end(), former) != next.end();
+    if (kept || former->mGone) {
+      continue;
+    }
+    if (!former->mMissingSince) {
+      former->mMissingSince = Now();
+    }
+    if (Now() < *former->mMissingSince + mEnvironment.mSettings.mEntryGrace) {
+      next.push_back(former);
+      continue;
+    }
+    Log(log_level::Info,
+        "directory",
+        "Instance gone. service={} instance={}",
+        mService,
+        former->mEntry.mId);
+    former->mGone = true;
+    former->mIdle.clear();
+  }
+  std::sort(
+    next.begin(), next.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft->mEntry.mId < aRight->mEntry.mId;
+    });
+  mInstances = std::move(next);
+  WakeAll();
+}
+
+std::vector<instance_candidate>
+upstream_group::Candidates() const
+{
+  std::vector<instance_candidate> candidates;
+  candidates.reserve(mInstances.size());
+  for (const auto& instance : mInstances) {
+    instance_candidate candidate;
+    candidate.mLeads = instance->mEntry.mId == mLeadership.Leader();
+    candidate.mLeaderReady = instance->mSaidLeads;
+    candidate.mSameZone = instance->mEntry.mZone == mEnvironment.mZone;
+    candidate.mDraining = instance->mEntry.mDraining;
+    candidate.mAvoidedUntil = instance->mAvoidedUntil;
+    candidate.mLaggingUntil = instance->mLaggingUntil;
+    candidate.mPosition = instance->mPosition;
+    candidate.mInFlight = instance->mInFlight;
+    candidate.mSlots = instance->mEntry.mSlots;
+    candidate.mHasRoom =
+      !instance->mIdle.empty() || instance->mOpen < ShareOf();
+    candidate.mAnswerTime = instance->mAnswerTime;
+    candidates.push_back(candidate);
+  }
+  return candidates;
+}
+
+result<connection_loan>
+upstream_group::Borrow(const loan_request& aRequest)
+{
+  placement_need need = aRequest.mNeed;
+  const time_point leaderUntil =
+    std::min(aRequest.mDeadline, Now() + mEnvironment.mSettings.mLeaderWait);
+  while (true) {
+    const time_point now = Now();
+    const placement chosen = SelectInstance(Candidates(), need, now);
+    if (chosen.mEnd == placement_end::Chosen) {
+      auto instance = mInstances[chosen.mInstance];
+      auto connection = TakeIdle(*instance, *aRequest.mSession);
+      if (connection) {
+        return connection_loan{ std::move(instance), std::move(connection) };
+      }
+      if (instance->mOpen >= ShareOf()) {
+        continue;
+      }
+      auto opened = OpenNew(std::move(instance), aRequest.mDeadline);
+      if (opened) {
+        return opened;
+      }
+      continue;
+    }
+    const bool busy = chosen.mEnd == placement_end::AllBusy;
+    const time_point until = busy ? aRequest.mDeadline : leaderUntil;
+    if (now >= until) {
+      return error{ busy ? error_kind::Overloaded
+                         : error_kind::NoCurrentPrimary,
+                    busy ? "no connection free" : "no usable instance" };
+    }
+    AwaitTurn(aRequest,
+              busy
+                ? until
+                : std::min(until, now + mEnvironment.mSettings.mLeaderPause));
+  }
+}
+
+std::unique_ptr<statement_connection>
+upstream_group::TakeIdle(upstream_instance& aInstance,
+                         const session_state& aSession)
+{
+  while (!aInstance.mIdle.empty()) {
+    std::size_t best = aInstance.mIdle.size() - 1;
+    std::size_t bestCost = SIZE_MAX;
+    // The one used last is looked at first, so that spare ones grow old.
+    for (std::size_t i = aInstance.mIdle.size(); i-- > 0 && bestCost > 0;) {
+      const std::size_t cost =
+        PreparationCost(aSession, aInstance.mIdle[i]->mMemory);
+      if (cost < bestCost) {
+        best = i;
+        bestCost = cost;
+      }
+    }
+    auto connection = std::move(aInstance.mIdle[best]);
+    aInstance.mIdle.erase(aInstance.mIdle.begin() +
+                          static_cast<std::ptrdiff_t>(best));
+    const bool old =
+      Now() - connection->mUsedAt > mEnvironment.mSettings.mIdleCheck;
+    if (connection->IsOpen() && (!old || connection->IsQuiet())) {
+      ++aInstance.mInFlight;
+      return connection;
+    }
+    --aInstance.mOpen;
+  }
+  return nullptr;
+}
+
+result<connection_loan>
+upstream_group::OpenNew(std::shared_ptr<upstream_instance> aInstance,
+                        time_point aDeadline)
+{
+  const session_settings& settings = mEnvironment.mSettings;
+  ++aInstance->mOpen;
+  ++aInstance->mInFlight;
+  auto connection = std::make_unique<statement_connection>(
+    mEnvironment.mLoop, mEnvironment.mCodec, settings.mMaxLineBytes);
+  const nanoseconds left =
+    std::max<nanoseconds>(aDeadline - Now(), milliseconds(1));
+  aInstance->mHealth.NoteSent(Now(), false);
+  const statement_reply reply =
+    connection->Open(aInstance->mEntry,
+                     mEnvironment.mProxy,
+                     std::min<nanoseconds>(left, settings.mConnectTimeout));
+  if (reply.IsAnswered()) {
+    aInstance->mHealth.NoteAnswered(Now(), false);
+  } else {
+    aInstance->mHealth.NoteLost(false);
+  }
+  if (reply.IsDone()) {
+    return connection_loan{ std::move(aInstance), std::move(connection) };
+  }
+  --aInstance->mOpen;
+  --aInstance->mInFlight;
+  aInstance->mAvoidedUntil = Now() + settings.mAvoidPause;
+  Log(log_level::Info,
+      "upstream",
+      "Instance did not accept a connection. instance={} error={}",
+      aInstance->mEntry.mId,
+      reply.mError ? StatementErrorName(*reply.mError) : "none");
+  return error{ error_kind::UpstreamUnreachable, aInstance->mEntry.mId };
+}
+
+void
+upstream_group::AwaitTurn(const loan_request& aRequest, time_point aUntil)
+{
+  fiber_wait wait;
+  const auto place = std::find_if(
+    mWaiting.begin(), mWaiting.end(), [&](const waiting_loan& aOther) {
+      return aOther.mRequest->mPriority > aRequest.mPriority;
+    });
+  const auto self = mWaiting.insert(place, { &aRequest, &wait });
+  boost::asio::steady_timer timer(mEnvironment.mLoop.Context());
+  // The handler may run after the wait has ended; it must not touch the stack.
+  auto alive = std::make_shared<fiber_wait*>(&wait);
+  timer.expires_after(std::max<nanoseconds>(aUntil - Now(), nanoseconds(0)));
+  timer.async_wait([alive](const boost::system::error_code&) {
+    if (*alive != nullptr) {
+      (*alive)->Notify();
+    }
+  });
+  wait.Wait();
+  *alive = nullptr;
+  mWaiting.erase(self);
+}
+
+void
+upstream_group::WakeNext(const upstream_instance& aInstance)
+{
+  const bool leads = aInstance.mEntry.mId == mLeadership.Leader();
+  for (const waiting_loan& waiting : mWaiting) {
+    if (leads || !waiting.mRequest->mNeed.mLeaderOnly) {
+      waiting.mWait->Notify();
+      return;
+    }
+  }
+}
+
+void
+upstream_group::WakeAll()
+{
+  for (const waiting_loan& waiting : mWaiting) {
+    waiting.mWait->Notify();
+  }
+  mChanged.Raise();
+}
+
+void
+upstream_group::Return(connection_loan aLoan)
+{
+  upstream_instance& instance = *aLoan.mInstance;
+  --instance.mInFlight;
+  const bool keep = aLoan.mConnection->IsOpen() && !instance.mGone &&
+                    instance.mOpen <= ShareOf();
+  if (keep) {
+    instance.mIdle.push_back(std::move(aLoan.mConnection));
+  } else {
+    --instance.mOpen;
+  }
+  WakeNext(instance);
+}
+
+statement_reply
+upstream_group::Exchange(connection_loan& aLoan,
+                         std::string_view aBytes,
+                         nanoseconds aTimeout,
+                         bool aIsCommit)
+{
+  const std::shared_ptr<upstream_instance> instance = aLoan.mInstance;
+  const time_point start = Now();
+  instance->mHealth.NoteSent(start, aIsCommit);
+  statement_reply reply = aLoan.mConnection->Exchange(aBytes, aTimeout);
+  if (reply.IsAnswered()) {
+    instance->mHealth.NoteAnswered(Now(), aIsCommit);
+    instance->mAnswerTime +=
+      ((Now() - start) - instance->mAnswerTime) / kSmoothing;
+  } else {
+    instance->mHealth.NoteLost(aIsCommit);
+  }
+  LearnFrom(*instance, reply, aIsCommit);
+  return reply;
+}
+
+void
+upstream_group::LearnFrom(upstream_instance& aInstance,
+                          const statement_reply& aReply,
+                          bool aIsCommit)
+{
+  if (aReply.mPosition) {
+    aInstance.mPosition = std::max(aInstance.mPosition, *aReply.mPosition);
+  }
+  if (aReply.Is(statement_error::ReadOnly)) {
+    aInstance.mSaidLeads = false;
+  }
+  if (aReply.Is(statement_error::Lagging)) {
+    aInstance.mLaggingUntil = Now() + mEnvironment.mSettings.mLaggingPause;
+  }
+  // A commit that a replica has received shows that the leader was not
+  // stopped when the commit was sent.
+  if (aIsCommit && aReply.IsDone() && mDeclared.mSyncReplicas > 0) {
+    mLeadership.OnGroupEvidence(aInstance.mEntry.mId, aReply.mSentAt);
+  }
+  if (aReply.mPosition) {
+    mLeadership.OnLeaderPosition(
+      aInstance.mEntry.mId, *aReply.mPosition, aReply.mSentAt);
+  }
+}
+
+std::unique_ptr<statement_connection>
+upstream_group::OpenForOrder(const upstream_instance& aInstance)
+{
+  auto connection = std::make_unique<statement_connection>(
+    mEnvironment.mLoop,
+    mEnvironment.mCodec,
+    mEnvironment.mSettings.mMaxLineBytes);
+  const statement_reply reply =
+    connection->Open(aInstance.mEntry,
+                     mEnvironment.mProxy,
+                     mEnvironment.mSettings.mOrderTimeout);
+  return reply.IsDone() ? std::move(connection) : nullptr;
+}
+
+result<instance_status>
+upstream_group::Order(upstream_instance& aInstance,
+                      instance_order aOrder,
+                      term_number aTerm)
+{
+  std::unique_ptr<statement_connection> connection;
+  bool pooled = false;
+  if (!aInstance.mIdle.empty()) {
+    connection = std::move(aInstance.mIdle.back());
+    aInstance.mIdle.pop_back();
+    pooled = true;
+  } else {
+    connection = OpenForOrder(aInstance);
+  }
+  if (!connection) {
+    return error{ error_kind::UpstreamUnreachable, aInstance.mEntry.mId };
+  }
+  std::string bytes;
+  mEnvironment.mCodec.AppendOrder(bytes, aOrder, aTerm);
+  const statement_reply reply =
+    connection->Exchange(bytes, mEnvironment.mSettings.mOrderTimeout);
+  if (pooled) {
+    ++aInstance.mInFlight;
+    auto shared = Find(aInstance.mEntry.mId);
+    if (shared && shared.get() == &aInstance) {
+      Return({ std::move(shared), std::move(connection) });
+    } else {
+      --aInstance.mInFlight;
+      --aInstance.mOpen;
+    }
+  }
+  if (!reply.IsDone()) {
+    return error{ reply.mError ? error_kind::UpstreamRefused
+                               : error_kind::UpstreamUnreachable,
+                  aInstance.mEntry.mId + ": " +
+                    std::string(reply.mError ? StatementErrorName(*reply.mError)
+                                             : "no answer") };
+  }
+  BOOST_OUTCOME_TRY(const instance_status status,
+                    mEnvironment.mCodec.DecodeStatus(reply.mRow));
+  aInstance.mSaidLeads = status.mLeads;
+  return status;
+}
+
+bool
+upstream_group::AskGroup()
+{
+  if (mAsking) {
+    return false;
+  }
+  mAsking = true;
+  const time_point sentAt = Now();
+  const auto leader = Leader();
+  bool proven = false;
+  if (leader) {
+    const auto own = Order(*leader, instance_order::Status, 0);
+    const bool leads = own && own.value().mLeads;
+    for (const auto& other : mInstances) {
+      if (!leads || proven) {
+        break;
+      }
+      if (other == leader) {
+        continue;
+      }
+      const auto status = Order(*other, instance_order::Status, 0);
+      proven = status && status.value().mHeldTerm == 0 &&
+               status.value().mTerm <= own.value().mTerm;
+    }
+    if (proven) {
+      mLeadership.OnGroupEvidence(leader->mEntry.mId, sentAt);
+      mLeadership.OnLeaderPosition(
+        leader->mEntry.mId, own.value().mReceived, sentAt);
+    }
+  }
+  mAsking = false;
+  mChanged.Raise();
+  return proven;
+}
+
+void
+upstream_group::CloseIdle()
+{
+  for (const auto& instance : mInstances) {
+    instance->mOpen -= static_cast<std::uint32_t>(instance->mIdle.size());
+    instance->mIdle.clear();
+  }
+}
+
+} // namespace catkinloom
--- /dev/null
+++ b/Source/Sessions/clUpstreamGroup.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include "clDesiredState.h"
+#include "clEventLoop.h"
+#include "clFiberSignal.h"
+#include "clInstanceSelector.h"
+#include "clLeadership.h"
+#include "clPrimaryHealth.h"
+#include "clStatementConnection.h"
+
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace catkinloom {
+
+/// One upstream instance and this proxy's connections to it.
+struct upstream_instance
+{
+  instance_entry mEntry;
+  /// The directory no longer names it.
+  std::optional<time_point> mMissingSince;
+  /// It has left for good; its connections are closed as they come back.
+  bool mGone = false;
+  std::vector<std::unique_ptr<statement_connection>> mIdle;
+  /// Connections of this proxy: idle, used, and being opened.
+  std::uint32_t mOpen = 0;
+  std::uint32_t mInFlight = 0;
+  log_position mPosition;
+  /// It said that it leads, in the directory or in an answer.
+  bool mSaidLeads = false;
+  time_point mAvoidedUntil;
+  time_point mLaggingUntil;
+  nanoseconds mAnswerTime{ 0 };
+  primary_health mHealth;
+};
+
+/// A connection lent to one statement or transaction.
+struct connection_loan
+{
+  std::shared_ptr<upstream_instance> mInstance;
+  std::unique_ptr<statement_connection> mConnection;
+
+  explicit operator bool() const { return mConnection != nullptr; }
+};
+
+/// What a statement needs of the connection that it is lent.
+struct loan_request
+{
+  const session_state* mSession = nullptr;
+  placement_need mNeed;
+  /// 0 goes first.
+  std::uint32_t mPriority = 0;
+  time_point mDeadline;
+};
+
+/// What all groups of one proxy share.
+struct upstream_environment
+{
+  event_loop& mLoop;
+  const statement_codec& mCodec;
+  const session_settings& mSettings;
+  std::string mProxy;
+  std::string mZone;
+  /// Proxies that share the instances' connections, this one included.
+  std::uint32_t mProxies = 1;
+};
+
+/// One database group as this proxy uses it: its instances, who leads them,
+/// and the statements that wait for a connection.
+class upstream_group
+{
+public:
+  upstream_group(upstream_environment& aEnvironment, std::string aService);
+
+  const std::string& Service() const { return mService; }
+  void Declare(const declared_service& aDeclared) { mDeclared = aDeclared; }
+  const declared_service& Declared() const { return mDeclared; }
+
+  /// Takes the directory's present entries of this service.
+  void ApplyEntries(const std::vector<instance_entry>& aEntries);
+
+  /// Lends a connection to an instance that meets the need.  Errors, all
+  /// before anything was sent: Overloaded, NoCurrentPrimary.
+  result<connection_loan> Borrow(const loan_request& aRequest);
+
+  /// Takes a connection back; a closed one frees its place.
+  void Return(connection_loan aLoan);
+
+  /// Sends a statement over a lent connection, and records what its answer
+  /// tells about the instance.
+  statement_reply Exchange(connection_loan& aLoan,
+                           std::string_view aBytes,
+                           nanoseconds aTimeout,
+                           bool aIsCommit);
+
+  /// Opens a connection apart from the pool's limits, for orders.
+  std::unique_ptr<statement_connection> OpenForOrder(
+    const upstream_instance& aInstance);
+
+  /// Sends an order to an instance.  Errors: UpstreamUnreachable.
+  result<instance_status> Order(upstream_instance& aInstance,
+                                instance_order aOrder,
+                                term_number aTerm);
+
+  /// Asks the leader and the others whether a promotion may have happened.
+  /// Takes evidence of leadership from the answers; true when there was any.
+  bool AskGroup();
+
+  std::shared_ptr<upstream_instance> Find(const std::string& aId) const;
+  std::shared_ptr<upstream_instance> Leader() const;
+  const std::vector<std::shared_ptr<upstream_instance>>& Instances() const
+  {
+    return mInstances;
+  }
+
+  /// Number by which a placement names the instance.
+  std::uint32_t BitOf(const upstream_instance& aInstance) const;
+
+  group_leadership& Leadership() { return mLeadership; }
+
+  /// Raised when instances, leadership or evidence change.
+  fiber_signal& Changed() { return mChanged; }
+  /// Wakes what waits for a connection or for news.
+  void WakeAll();
+
+  void CloseIdle();
+
+private:
+  struct waiting_loan
+  {
+    const loan_request* mRequest = nullptr;
+    fiber_wait* mWait = nullptr;
+  };
+
+  std::vector<instance_candidate> Candidates() const;
+  std::uint32_t ShareOf() const;
+  std::unique_ptr<statement_connection> TakeIdle(upstream_instance& aInstance,
+                                                 const session_state& aSession);
+  result<connection_loan> OpenNew(std::shared_ptr<upstream_instance> aInstance,
+                                  time_point aDeadline);
+  void AwaitTurn(const loan_request& aRequest, time_point aUntil);
+  void WakeNext(const upstream_instance& aInstance);
+  void LearnFrom(upstream_instance& aInstance,
+                 const statement_reply& aReply,
+                 bool aIsCommit);
+  time_point Now() const { return mEnvironment.mLoop.Clock().Now(); }
+
+  upstream_environment& mEnvironment;
+  std::string mService;
+  declared_service mDeclared;
+  std::vector<std::shared_ptr<upstream_instance>> mInstances;
+  group_leadership mLeadership;
+  fiber_signal mChanged;
+  std::list<waiting_loan> mWaiting;
+  bool mAsking = false;
+};
+
+} // namespace catkinloom
