--- a/Source/Decisions/clInstanceSelector.cxx
+++ b/Source/Decisions/clInstanceSelector.cxx
@@ -5,14 +5,18 @@
 namespace {
 
 /// Extra cost of a statement that crosses availability zones.  Source: bytes
-/// between zones are the dearest resource; a few milliseconds of waiting
-/// nearby are cheaper.
-constexpr milliseconds kZonePenalty{ 4 };
+/// between zones are the dearest resource, and the strictest target latency is
+/// 150 ms; some milliseconds of waiting nearby are cheaper.
+constexpr milliseconds kZonePenalty{ 20 };
 
 /// Extra cost of the leader for work that a replica may do, so that the
 /// leader stays free for writes.
 constexpr milliseconds kLeaderPenalty{ 6 };
 
+/// Extra cost of a statement that must open a connection first.  Source: an
+/// instance spends 12 to 27 ms of a slot on it.
+constexpr milliseconds kOpenPenalty{ 25 };
+
 /// Least answer time assumed of an instance that was never measured.
 constexpr milliseconds kLeastAnswerTime{ 2 };
 
@@ -42,6 +46,7 @@
   const auto slots = std::max(aCandidate.mSlots, 1U);
   nanoseconds cost = answer * (aCandidate.mInFlight + slots) / slots;
   cost += aCandidate.mSameZone ? nanoseconds(0) : nanoseconds(kZonePenalty);
+  cost += aCandidate.mHasIdle ? nanoseconds(0) : nanoseconds(kOpenPenalty);
   const bool spares = aCandidate.mLeads && !aNeed.mLeaderOnly;
   cost += spares ? nanoseconds(kLeaderPenalty) : nanoseconds(0);
   return cost;
@@ -61,7 +66,7 @@
     if (!IsUsable(candidate, aNeed, i, aNow)) {
       continue;
     }
-    if (!candidate.mHasRoom) {
+    if (!candidate.mHasIdle && !candidate.mMayOpen) {
       if (chosen.mEnd == placement_end::NoneUsable) {
         chosen.mEnd = placement_end::AllBusy;
       }
--- a/Source/Decisions/clInstanceSelector.h
+++ b/Source/Decisions/clInstanceSelector.h
@@ -26,8 +26,10 @@
   /// Statements of this proxy in flight there.
   std::uint32_t mInFlight = 0;
   std::uint32_t mSlots = 1;
-  /// A connection is free, or one more may be opened.
-  bool mHasRoom = false;
+  /// A connection is free.
+  bool mHasIdle = false;
+  /// One more connection may be opened.
+  bool mMayOpen = false;
   /// Smoothed time of an answer.
   nanoseconds mAnswerTime{ 0 };
 };
--- a/Source/Decisions/clLeadership.cxx
+++ b/Source/Decisions/clLeadership.cxx
@@ -11,14 +11,47 @@
 
 } // namespace
 
+std::optional<std::size_t>
+FindGroupLeader(const std::vector<member_status>& aMembers,
+                std::uint32_t aSyncReplicas)
+{
+  std::optional<std::size_t> leader;
+  term_number newest = 0;
+  for (std::size_t i = 0; i < aMembers.size(); ++i) {
+    newest = std::max(newest, aMembers[i].mTerm);
+    if (aMembers[i].mLeads &&
+        (!leader || aMembers[*leader].mTerm < aMembers[i].mTerm)) {
+      leader = i;
+    }
+  }
+  if (!leader || aMembers[*leader].mTerm < newest) {
+    return std::nullopt;
+  }
+  std::uint32_t receivers = 0;
+  for (std::size_t i = 0; i < aMembers.size(); ++i) {
+    const bool receives =
+      i != *leader && aMembers[i].mHeldTerm <= aMembers[*leader].mTerm;
+    receivers += receives ? 1 : 0;
+  }
+  const std::uint32_t needed = std::max(aSyncReplicas, 1U);
+  return receivers >= needed ? leader : std::nullopt;
+}
+
 void
 group_leadership::Adopt(const failover_record& aRecord)
 {
   if (aRecord.mRevision < mRecord.mRevision) {
     return;
   }
+  const bool isNews = aRecord.mRevision > mRecord.mRevision;
   mRecord = aRecord;
-  if (!aRecord.mLeader.empty() && aRecord.mLeader != mLeader) {
+  if (isNews && aRecord.mCommitsStopped) {
+    // The record was written after the older one was last read.
+    OnCommitsStopped(aRecord.mFloor, mRecordAskedAt);
+  }
+  const bool isSettled = aRecord.mPhase == failover_phase::Settled;
+  if (!aRecord.mLeader.empty() && aRecord.mLeader != mLeader &&
+      (isSettled || mLeader.empty())) {
     mLeader = aRecord.mLeader;
     // Evidence named the former leader.
     mProvenUntil = {};
@@ -32,7 +65,9 @@
     return;
   }
   Adopt(aRecord);
-  if (aRecord.mPhase == failover_phase::Settled && !mLeader.empty()) {
+  mRecordAskedAt = std::max(mRecordAskedAt, aSentAt);
+  const bool isSame = aRecord.mLeader.empty() || aRecord.mLeader == mLeader;
+  if (aRecord.mPhase == failover_phase::Settled && !mLeader.empty() && isSame) {
     Extend(aSentAt);
   }
 }
@@ -53,6 +88,24 @@
   mProvenUntil = {};
 }
 
+void
+group_leadership::OnGroupLeader(const std::string& aLeader, time_point aSentAt)
+{
+  if (aLeader != mLeader) {
+    mLeader = aLeader;
+    mProvenUntil = {};
+  }
+  Extend(aSentAt);
+}
+
+void
+group_leadership::OnCommitsStopped(log_position aPosition, time_point aMoment)
+{
+  if (mObservations.empty() || mObservations.back().mSentAt < aMoment) {
+    Observe(aPosition, aMoment);
+  }
+}
+
 void
 group_leadership::OnGroupEvidence(const std::string& aLeader,
                                   time_point aSentAt)
@@ -77,16 +130,22 @@
       aPosition < mRecord.mFloor) {
     return;
   }
-  while (!mObservations.empty() && mObservations.front().mSentAt <
-                                     aSentAt - mSettings.mObservationLifetime) {
-    mObservations.pop_front();
-  }
   const bool close =
     !mObservations.empty() &&
     aSentAt < mObservations.back().mSentAt + kObservationSpacing;
   if (!close) {
-    mObservations.push_back({ aSentAt, aPosition });
+    Observe(aPosition, aSentAt);
+  }
+}
+
+void
+group_leadership::Observe(log_position aPosition, time_point aSentAt)
+{
+  const time_point oldest = aSentAt - mSettings.mObservationLifetime;
+  while (!mObservations.empty() && mObservations.front().mSentAt < oldest) {
+    mObservations.pop_front();
   }
+  mObservations.push_back({ aSentAt, aPosition });
 }
 
 bool
--- a/Source/Decisions/clLeadership.h
+++ b/Source/Decisions/clLeadership.h
@@ -29,6 +29,8 @@
   failover_phase mPhase = failover_phase::Settled;
   /// Instance that leads; empty when the record never named one.
   std::string mLeader;
+  /// Contested: no commit can be acknowledged any more, and mFloor holds all.
+  bool mCommitsStopped = false;
   /// End of the leader's log when it was chosen.
   log_position mFloor;
   /// Proxy that wrote the record.
@@ -39,6 +41,25 @@
   bool operator==(const failover_record&) const = default;
 };
 
+/// What one instance says of itself, as far as it tells who leads.
+struct member_status
+{
+  std::string mId;
+  bool mLeads = false;
+  term_number mTerm = 0;
+  /// Term up to which it was told to stop receiving.
+  term_number mHeldTerm = 0;
+  log_position mReceived;
+};
+
+/// The instance that leads by the answers of its group, as an index.  It is
+/// certain for the moment at which the questions were sent: nobody can be
+/// promoted before either the leader has stopped or fewer than aSyncReplicas
+/// others are left that receive.
+std::optional<std::size_t>
+FindGroupLeader(const std::vector<member_status>& aMembers,
+                std::uint32_t aSyncReplicas);
+
 /// Timing of evidence; the same on every proxy.
 struct leadership_settings
 {
@@ -77,8 +98,10 @@
   /// Takes the directory's claim that an instance leads.
   void OnClaim(const std::string& aInstance);
 
-  /// The leader acknowledged a commit, or a majority of the group's instances
-  /// was not stopped, by questions sent at aSentAt.
+  /// The instance was found to lead by asking its group at aSentAt.
+  void OnGroupLeader(const std::string& aLeader, time_point aSentAt);
+
+  /// The leader acknowledged a commit that was sent at aSentAt.
   void OnGroupEvidence(const std::string& aLeader, time_point aSentAt);
 
   /// The leader answered with this log end a question sent at aSentAt.
@@ -86,6 +109,10 @@
                         log_position aPosition,
                         time_point aSentAt);
 
+  /// From aMoment on no commit can be acknowledged until a promotion takes
+  /// effect, and every one that was lies before the position.
+  void OnCommitsStopped(log_position aPosition, time_point aMoment);
+
   /// Instance believed to lead; empty when unknown.
   const std::string& Leader() const { return mLeader; }
   const failover_record& Record() const { return mRecord; }
@@ -112,11 +139,14 @@
 
   void Adopt(const failover_record& aRecord);
   void Extend(time_point aSentAt);
+  void Observe(log_position aPosition, time_point aSentAt);
 
   leadership_settings mSettings;
   failover_record mRecord;
   std::string mLeader;
   time_point mProvenUntil;
+  /// When the store was last asked for the record that is known.
+  time_point mRecordAskedAt;
   std::deque<observation> mObservations;
 };
 
--- a/Source/Decisions/clPrimaryHealth.h
+++ b/Source/Decisions/clPrimaryHealth.h
@@ -41,10 +41,11 @@
   /// Time since the instance last answered while something waits for it.
   nanoseconds SilentFor(time_point aNow) const { return mAll.SilentFor(aNow); }
 
-  /// The same for commits alone.
+  /// Time since a commit was last answered while commits wait.  A commit whose
+  /// connection broke says nothing about the others.
   nanoseconds CommitsSilentFor(time_point aNow) const
   {
-    return mCommits.SilentFor(aNow);
+    return mCommits.WaitingFor(aNow);
   }
 
 private:
@@ -73,6 +74,11 @@
       return mCount > 0 || mLost ? nanoseconds(aNow - mSince) : nanoseconds(0);
     }
 
+    nanoseconds WaitingFor(time_point aNow) const
+    {
+      return mCount > 0 ? nanoseconds(aNow - mSince) : nanoseconds(0);
+    }
+
     std::uint32_t mCount = 0;
     /// A request was lost and nothing has been answered since.
     bool mLost = false;
--- a/Source/Sessions/clCallerSession.cxx
+++ b/Source/Sessions/clCallerSession.cxx
@@ -98,6 +98,11 @@
 caller_session::Open(const std::string& aDatabase)
 {
   const statement_codec& codec = mContext.mPorts.mStatements;
+  if (!mContext.mDesired) {
+    // This process has just started and asks the store; the answer is due.
+    mContext.mDesiredKnown.WaitUntil(mContext.Now() +
+                                     mContext.mSettings.mOpenWait);
+  }
   const auto& desired = mContext.mDesired;
   const bool known = desired && desired->mRoutes.count(aDatabase) > 0;
   if (mOpened || !known) {
--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -23,9 +23,19 @@
 /// within a tenth of each other; the same again for rounding.
 constexpr int kWaitPercent = 120;
 
+/// Least time from a promotion order to its effect.  Source: the platform's
+/// pages say "some hundred ms"; the deployments take 600 to 1,000 ms.
+constexpr milliseconds kLeastPromotionTime{ 200 };
+
 /// Longest time for one attempt.
 constexpr milliseconds kAttemptLimit{ 8000 };
 
+instance_order
+AskStatus(const upstream_instance&)
+{
+  return instance_order::Status;
+}
+
 failover_member&
 MemberOf(std::vector<failover_member>& aMembers, const std::string& aId)
 {
@@ -69,7 +79,7 @@
     const bool stalled =
       now - mLookedAt > mContext.mSettings.mHealthInterval + kOwnStall;
     mLookedAt = now;
-    if (stalled) {
+    if (stalled || !IsDirectoryWhole(now)) {
       continue;
     }
     for (const auto& [service, group] : mContext.mGroups) {
@@ -82,6 +92,13 @@
   }
 }
 
+bool
+failover_runner::IsDirectoryWhole(time_point aNow) const
+{
+  const auto& since = mContext.mStoreReachedSince;
+  return since && aNow - *since >= mContext.mSettings.mEntryGrace;
+}
+
 void
 failover_runner::Look(upstream_group& aGroup, time_point aNow)
 {
@@ -102,14 +119,22 @@
 {
   const session_settings& settings = mContext.mSettings;
   const failover_record& record = aGroup.Leadership().Record();
+  if (aWatch.mSeenRevision != record.mRevision) {
+    aWatch.mSeenRevision = record.mRevision;
+    aWatch.mSeenSince = aNow;
+  }
+  // Another proxy's last order may still be on its way: it keeps the duty for
+  // the time of a lease.
+  const bool isOwn = record.mRevision == 0 || record.mHolder == mContext.Name();
+  const bool noOrder = record.mPhase == failover_phase::Contested &&
+                       record.mPossibleLeaders.empty();
+  const milliseconds lease =
+    noOrder ? settings.mAttemptLifetime : settings.mHolderLease;
+  if (!isOwn && aNow - aWatch.mSeenSince < lease) {
+    return std::nullopt;
+  }
   if (record.mPhase == failover_phase::Contested) {
-    if (aWatch.mContestedRevision != record.mRevision) {
-      aWatch.mContestedRevision = record.mRevision;
-      aWatch.mContestedSince = aNow;
-    }
-    const bool stale =
-      aNow - aWatch.mContestedSince >= settings.mAttemptLifetime;
-    return stale ? std::optional(failover_reason::Unfinished) : std::nullopt;
+    return failover_reason::Unfinished;
   }
   if (aGroup.Leadership().Leader().empty() || aGroup.Instances().empty()) {
     return std::nullopt;
@@ -133,9 +158,12 @@
 void
 failover_runner::Start(upstream_group& aGroup, failover_reason aReason)
 {
-  mContext.mLoop.Spawn([this, &aGroup, aReason] {
+  // The record as it stands now is what the attempt replaces: another proxy
+  // may begin while this one confirms its suspicion.
+  const failover_record record = aGroup.Leadership().Record();
+  mContext.mLoop.Spawn([this, &aGroup, aReason, record] {
     if (Confirm(aGroup, aReason)) {
-      const bool done = Attempt(aGroup, aReason);
+      const bool done = Attempt(aGroup, aReason, record);
       Log(log_level::Info,
           "failover",
           "Attempt ended. service={} done={}",
@@ -148,27 +176,48 @@
   });
 }
 
+bool
+failover_runner::IsReplicating(upstream_group& aGroup)
+{
+  const auto leader = aGroup.Leader();
+  if (!leader) {
+    return false;
+  }
+  const auto own = aGroup.Order(*leader, instance_order::Status, 0);
+  if (!own || !own.value().mLeads) {
+    return false;
+  }
+  for (const auto& other : aGroup.Instances()) {
+    if (other == leader) {
+      continue;
+    }
+    const auto status = aGroup.Order(*other, instance_order::Status, 0);
+    if (status && status.value().mReceived >= own.value().mReceived) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool
 failover_runner::Confirm(upstream_group& aGroup, failover_reason aReason)
 {
   const auto leader = aGroup.Leader();
+  if (aReason == failover_reason::CommitsStuck) {
+    return !IsReplicating(aGroup);
+  }
   if (aReason != failover_reason::Silent || !leader) {
     return true;
   }
   const time_point askedAt = mContext.Now();
-  const auto status = aGroup.Order(*leader, instance_order::Status, 0);
-  const bool lives =
-    status || status.error().mKind == error_kind::UpstreamRefused;
-  if (lives) {
+  if (aGroup.AnswersAnew(*leader)) {
     leader->mHealth.NoteSent(askedAt, false);
     leader->mHealth.NoteAnswered(mContext.Now(), false);
-    return status && !status.value().mLeads &&
-           aGroup.Leadership().Record().mPhase == failover_phase::Settled &&
-           false;
+    return false;
   }
   // A proxy that reaches nobody is cut off itself and replaces nobody.
   for (const auto& other : aGroup.Instances()) {
-    if (other != leader && aGroup.Order(*other, instance_order::Status, 0)) {
+    if (other != leader && aGroup.AnswersAnew(*other)) {
       return true;
     }
   }
@@ -215,15 +264,12 @@
 }
 
 bool
-failover_runner::Attempt(upstream_group& aGroup, failover_reason aReason)
+failover_runner::Attempt(upstream_group& aGroup,
+                         failover_reason aReason,
+                         const failover_record& aRecord)
 {
-  attempt now{ aGroup,
-               aReason,
-               aGroup.Leadership().Leader(),
-               aGroup.Leadership().Record(),
-               {},
-               {},
-               {} };
+  attempt now{ aGroup, aReason, aGroup.Leadership().Leader(), aRecord, {}, 0,
+               {},     {} };
   now.mGiveUpAt = mContext.Now() + kAttemptLimit;
   now.mRecord.mPhase = failover_phase::Contested;
   now.mRecord.mHolder = mContext.Name();
@@ -246,9 +292,13 @@
     if (!chosen) {
       return false;
     }
+    now.mRecord.mCommitsStopped = true;
+    now.mRecord.mFloor = MemberOf(now.mMembers, *chosen).mPosition;
+    aGroup.Leadership().OnCommitsStopped(now.mRecord.mFloor, now.mStoppedAt);
     const nanoseconds wait =
       nanoseconds(mContext.mSettings.mLeadership.mEvidenceLifetime) *
-      kWaitPercent / 100;
+        kWaitPercent / 100 -
+      nanoseconds(kLeastPromotionTime);
     const nanoseconds left = now.mStoppedAt + wait - mContext.Now();
     if (left > nanoseconds(0)) {
       mContext.mLoop.Sleep(left);
@@ -269,51 +319,48 @@
 {
   upstream_group& group = aAttempt.mGroup;
   const term_number next = NewestTerm(group) + 1;
-  const auto instances = group.Instances();
-  std::size_t open = 0;
-  fiber_signal ended(mContext.mLoop);
-  for (const auto& instance : instances) {
+  const bool planned = aAttempt.mReason == failover_reason::Leaving;
+  const auto orderOf = [&aAttempt](const upstream_instance& aInstance) {
+    return aInstance.mEntry.mId == aAttempt.mPrimary ? instance_order::StepDown
+                                                     : instance_order::Hold;
+  };
+  std::vector<std::shared_ptr<upstream_instance>> ordered;
+  for (const auto& instance : group.Instances()) {
     failover_member& member = MemberOf(aAttempt.mMembers, instance->mEntry.mId);
     member.mDraining = instance->mEntry.mDraining;
     const bool isPrimary = instance->mEntry.mId == aAttempt.mPrimary;
-    const bool planned = aAttempt.mReason == failover_reason::Leaving;
-    if (member.mStopped || (planned && !isPrimary)) {
-      continue;
+    // A lost leader would only be waited for, unless the others are not enough.
+    const bool wanted = isPrimary ? planned || aAttempt.mRounds > 0 : !planned;
+    if (!member.mStopped && wanted) {
+      ordered.push_back(instance);
     }
-    ++open;
-    const instance_order order =
-      isPrimary ? instance_order::StepDown : instance_order::Hold;
-    mContext.mLoop.Spawn([&, instance, order] {
-      const auto status = group.Order(*instance, order, next);
-      if (status) {
-        failover_member& answered =
-          MemberOf(aAttempt.mMembers, instance->mEntry.mId);
-        const bool stopped = order == instance_order::StepDown
-                               ? !status.value().mLeads
-                               : status.value().mHeldTerm >= next;
-        answered.mStopped = stopped;
-        answered.mPosition = status.value().mReceived;
-        instance->mPosition =
-          std::max(instance->mPosition, status.value().mReceived);
-      }
-      Log(log_level::Info,
-          "failover",
-          "Order answered. service={} instance={} order={} term={} "
-          "stopped={} log={}.{}",
-          group.Service(),
-          instance->mEntry.mId,
-          order == instance_order::StepDown ? "step_down" : "hold",
-          next,
-          status ? MemberOf(aAttempt.mMembers, instance->mEntry.mId).mStopped
-                 : false,
-          status ? status.value().mReceived.mTerm : 0,
-          status ? status.value().mReceived.mIndex : 0);
-      --open;
-      ended.Raise();
-    });
   }
-  while (open > 0) {
-    ended.WaitUntil(mContext.Now() + mContext.mSettings.mOrderTimeout);
+  ++aAttempt.mRounds;
+  const auto answers = group.OrderEach(ordered, orderOf, next);
+  for (std::size_t i = 0; i < ordered.size(); ++i) {
+    const instance_order order = orderOf(*ordered[i]);
+    failover_member& member =
+      MemberOf(aAttempt.mMembers, ordered[i]->mEntry.mId);
+    if (answers[i]) {
+      const instance_status& status = answers[i].value();
+      member.mStopped = order == instance_order::StepDown
+                          ? !status.mLeads
+                          : status.mHeldTerm >= next;
+      member.mPosition = status.mReceived;
+      ordered[i]->mPosition = std::max(ordered[i]->mPosition, status.mReceived);
+    }
+    Log(log_level::Info,
+        "failover",
+        "Order answered. service={} instance={} order={} term={} stopped={} "
+        "log={}.{} cause={}",
+        group.Service(),
+        member.mId,
+        order == instance_order::StepDown ? "step_down" : "hold",
+        next,
+        member.mStopped,
+        member.mPosition.mTerm,
+        member.mPosition.mIndex,
+        answers[i] ? "" : answers[i].error().mDetail);
   }
 }
 
@@ -341,6 +388,7 @@
     if (aAttempt.mReason == failover_reason::Leaving) {
       // The leader did not step down by itself: stop all others instead.
       aAttempt.mReason = failover_reason::Silent;
+      continue;
     }
     mContext.mLoop.Sleep(kStepPause);
   }
@@ -355,18 +403,21 @@
     MemberOf(aAttempt.mMembers, aAttempt.mPrimary).mPosition;
   const time_point until = mContext.Now() + mContext.mSettings.mHandOverWait;
   while (mContext.Now() < until) {
+    std::vector<std::shared_ptr<upstream_instance>> staying;
     for (const auto& instance : group.Instances()) {
-      if (instance->mEntry.mId == aAttempt.mPrimary ||
-          instance->mEntry.mDraining) {
-        continue;
+      if (instance->mEntry.mId != aAttempt.mPrimary &&
+          !instance->mEntry.mDraining) {
+        staying.push_back(instance);
       }
-      const auto status = group.Order(*instance, instance_order::Status, 0);
-      if (status && status.value().mReceived >= end) {
+    }
+    const auto answers = group.OrderEach(staying, AskStatus, 0);
+    for (std::size_t i = 0; i < staying.size(); ++i) {
+      if (answers[i] && answers[i].value().mReceived >= end) {
         failover_member& member =
-          MemberOf(aAttempt.mMembers, instance->mEntry.mId);
+          MemberOf(aAttempt.mMembers, staying[i]->mEntry.mId);
         // Nothing can be added to its log, since nobody leads.
         member.mStopped = true;
-        member.mPosition = status.value().mReceived;
+        member.mPosition = answers[i].value().mReceived;
         return;
       }
     }
@@ -421,7 +472,7 @@
 {
   aAttempt.mRecord.mPhase = failover_phase::Settled;
   aAttempt.mRecord.mLeader = aLeader;
-  aAttempt.mRecord.mFloor = MemberOf(aAttempt.mMembers, aLeader).mPosition;
+  aAttempt.mRecord.mCommitsStopped = false;
   aAttempt.mRecord.mPossibleLeaders.clear();
   const time_point until = mContext.Now() + mContext.mSettings.mPromoteEffect;
   while (mContext.Now() < until) {
--- a/Source/Sessions/clFailoverRunner.h
+++ b/Source/Sessions/clFailoverRunner.h
@@ -52,6 +52,8 @@
     failover_record mRecord;
     /// Every promotion ordered so far is in mRecord.mPossibleLeaders.
     std::vector<failover_member> mMembers;
+    /// Rounds of orders so far.
+    std::uint32_t mRounds = 0;
     time_point mStoppedAt;
     time_point mGiveUpAt;
   };
@@ -60,17 +62,25 @@
   {
     bool mRunning = false;
     time_point mQuietUntil;
-    store_revision mContestedRevision = 0;
-    time_point mContestedSince;
+    /// The newest record seen, and since when.
+    store_revision mSeenRevision = 0;
+    time_point mSeenSince;
   };
 
   void Look(upstream_group& aGroup, time_point aNow);
+  /// Every living instance is in the directory: entries that lapsed with the
+  /// store have had time to come back.
+  bool IsDirectoryWhole(time_point aNow) const;
   std::optional<failover_reason> ReasonFor(upstream_group& aGroup,
                                            group_watch& aWatch,
                                            time_point aNow) const;
   void Start(upstream_group& aGroup, failover_reason aReason);
   bool Confirm(upstream_group& aGroup, failover_reason aReason);
-  bool Attempt(upstream_group& aGroup, failover_reason aReason);
+  /// True when the leader lives and a replica has all that it has.
+  bool IsReplicating(upstream_group& aGroup);
+  bool Attempt(upstream_group& aGroup,
+               failover_reason aReason,
+               const failover_record& aRecord);
   bool WriteRecord(attempt& aAttempt);
   bool StopCommits(attempt& aAttempt);
   void StopOnce(attempt& aAttempt);
--- a/Source/Sessions/clSessionContext.h
+++ b/Source/Sessions/clSessionContext.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace catkinloom {
@@ -35,6 +36,7 @@
     , mPorts(aPorts)
     , mSettings(aSettings)
     , mUpstreams{ aLoop, aPorts.mStatements, mSettings, aName, aZone, 1 }
+    , mDesiredKnown(aLoop)
   {
   }
 
@@ -58,9 +60,14 @@
   session_metrics mMetrics;
   /// In force; null until the first one is known.
   std::shared_ptr<const desired_state> mDesired;
+  /// Raised when the first desired state is known.
+  fiber_signal mDesiredKnown;
   std::map<std::string, std::unique_ptr<upstream_group>> mGroups;
   /// Asks the store anew who leads; set by the store's keeper.
   std::function<void()> mRefreshLeadership;
+  /// Since when the store has answered without a break; empty while it does
+  /// not.
+  std::optional<time_point> mStoreReachedSince;
   bool mDraining = false;
 };
 
--- a/Source/Sessions/clSessionDaemon.cxx
+++ b/Source/Sessions/clSessionDaemon.cxx
@@ -151,6 +151,9 @@
     mContext.mLoop.Sleep(kHousekeeping);
     const time_point now = mContext.Now();
     mKeeper.ReviewInstances();
+    for (const auto& [service, group] : mContext.mGroups) {
+      group->CloseSpares();
+    }
     const std::vector<std::shared_ptr<caller_session>> sessions(
       mSessions.begin(), mSessions.end());
     for (const auto& session : sessions) {
@@ -185,8 +188,12 @@
   while (mContext.Now() < start + settings.mDrainTimeout) {
     const std::vector<std::shared_ptr<caller_session>> sessions(
       mSessions.begin(), mSessions.end());
-    const bool cutTransactions =
-      mContext.Now() >= start + settings.mDrainTransactions;
+    const time_point now = mContext.Now();
+    const bool cutTransactions = now >= start + settings.mDrainTransactions;
+    if (now >= start + settings.mDrainAccepting) {
+      boost::system::error_code ignored;
+      mAcceptor.close(ignored);
+    }
     for (const auto& session : sessions) {
       const bool idleTransaction =
         session->IsInTransaction() && !session->IsBusy();
@@ -196,7 +203,7 @@
         session->EndWhenIdle();
       }
     }
-    if (mSessions.empty()) {
+    if (mSessions.empty() && !mAcceptor.is_open()) {
       break;
     }
     mContext.mLoop.Sleep(kDrainStep);
--- a/Source/Sessions/clSessionSettings.h
+++ b/Source/Sessions/clSessionSettings.h
@@ -20,8 +20,15 @@
   milliseconds mConnectTimeout{ 600 };
   /// Time for a caller to take its answer before it is given up.
   milliseconds mCallerWriteTimeout{ 5000 };
+  /// Longest wait of an opening session for the first desired state.  Source:
+  /// callers give an opening up after 2 s.
+  milliseconds mOpenWait{ 1700 };
   /// Time after which an idle connection is looked at before it is used.
   milliseconds mIdleCheck{ 1000 };
+  /// Time after which a connection that nothing used is closed.  Source: a VM
+  /// that lost power leaves its connections counted for 3 s, so that fewer
+  /// open ones let its successor in at once.
+  milliseconds mSpareLifetime{ 2000 };
   /// Pause before an instance that refused a connection is tried again.
   milliseconds mAvoidPause{ 200 };
   /// Time for which a replica that lacked a position is not asked for newer
@@ -37,9 +44,10 @@
   milliseconds mStoreTimeout{ 400 };
   /// Longest wait of a watch, so that a silent connection is noticed soon.
   milliseconds mWatchWait{ 1500 };
-  /// Pause between two complete readings of the store.  Source: a watch may
-  /// miss changes for a second; configuration must be in force within 3 s.
-  milliseconds mListInterval{ 2500 };
+  /// Pause between two complete readings of the store.  A watch goes on where
+  /// the last one ended and says when it can't, so that this finds only what
+  /// should not happen.
+  milliseconds mListInterval{ 20000 };
   /// Pause after a failed call to the store.
   milliseconds mStoreRetryPause{ 150 };
   /// Life of this proxy's registration without renewal.
@@ -59,8 +67,13 @@
   milliseconds mHealthInterval{ 100 };
   /// Time for other proxies to say whether they reach a leader.
   milliseconds mVoteWait{ 250 };
-  /// Time after which another proxy takes an unfinished attempt over.
-  milliseconds mAttemptLifetime{ 2500 };
+  /// Time after which another proxy takes an attempt over that has ordered no
+  /// promotion yet.
+  milliseconds mAttemptLifetime{ 1500 };
+  /// Time since a proxy's last word on a failover in which no other proxy may
+  /// order one.  Source: the platform's duties have leases of 3 s; an order's
+  /// own time-out comes on top.
+  milliseconds mHolderLease{ 3700 };
   /// Wait for a replica to be level with a leader that stepped down.
   milliseconds mHandOverWait{ 400 };
   /// Time for the platform to answer a promotion order.
@@ -74,8 +87,11 @@
   /// Time in which an open transaction may end after a drain began.  Source:
   /// half of the platform's grace of 6 s.
   milliseconds mDrainTransactions{ 3000 };
-  /// Time after which the process ends, finished or not.
-  milliseconds mDrainTimeout{ 5000 };
+  /// Time after which no caller is accepted any more.
+  milliseconds mDrainAccepting{ 3500 };
+  /// Time after which the process ends, finished or not.  Source: the
+  /// platform's grace of 6 s.
+  milliseconds mDrainTimeout{ 5600 };
   leadership_settings mLeadership;
 };
 
--- a/Source/Sessions/clStateKeeper.cxx
+++ b/Source/Sessions/clStateKeeper.cxx
@@ -43,6 +43,8 @@
     return;
   }
   mStoreReached = aIsReached;
+  mContext.mStoreReachedSince =
+    aIsReached ? std::optional(mContext.Now()) : std::nullopt;
   Log(log_level::Info,
       "store",
       "Store {}. cause={}",
@@ -91,6 +93,9 @@
   if (!own) {
     return false;
   }
+  for (auto& [name, proxy] : mProxies) {
+    proxy.mIsRegistered = false;
+  }
   for (const store_item& item : own.value().mItems) {
     ApplyItem(item, false);
   }
@@ -100,7 +105,7 @@
   mWatchFrom = std::min(
     { desired.value().mAsOf, instances.value().mAsOf, own.value().mAsOf });
   mListedAt = sentAt;
-  mComplete = mContext.mDesired != nullptr;
+  mListed = true;
   return true;
 }
 
@@ -148,8 +153,9 @@
     ApplyInstance(RestOf(aItem.mKey, codec.InstancePrefix()), aItem, aDeleted);
   } else if (IsUnder(aItem.mKey, store_keys::kFailover) && !aDeleted) {
     ApplyRecord(RestOf(aItem.mKey, store_keys::kFailover), aItem);
-  } else if (IsUnder(aItem.mKey, store_keys::kProxies) && !aDeleted) {
-    mProxies[RestOf(aItem.mKey, store_keys::kProxies)] = mContext.Now();
+  } else if (IsUnder(aItem.mKey, store_keys::kProxies)) {
+    mProxies[RestOf(aItem.mKey, store_keys::kProxies)] = { !aDeleted,
+                                                           mContext.Now() };
     ApplyProxies();
   }
 }
@@ -183,6 +189,7 @@
       next->mServices.size());
   mContext.mMetrics.mDesiredVersion.Set(static_cast<double>(next->mVersion));
   mContext.mDesired = std::move(next);
+  mContext.mDesiredKnown.Raise();
 }
 
 void
@@ -240,6 +247,7 @@
 void
 state_keeper::ReviewInstances()
 {
+  ApplyProxies();
   for (const auto& [service, group] : mContext.mGroups) {
     for (const auto& instance : group->Instances()) {
       if (instance->mMissingSince) {
@@ -282,10 +290,10 @@
 void
 state_keeper::ApplyProxies()
 {
-  const time_point oldest =
-    mContext.Now() - kProxyMemory - mContext.mSettings.mListInterval;
-  std::erase_if(
-    mProxies, [oldest](const auto& aProxy) { return aProxy.second < oldest; });
+  const time_point oldest = mContext.Now() - kProxyMemory;
+  std::erase_if(mProxies, [oldest](const auto& aProxy) {
+    return !aProxy.second.mIsRegistered && aProxy.second.mSeenAt < oldest;
+  });
   const auto others = mProxies.size() - mProxies.count(mContext.Name());
   const auto proxies = static_cast<std::uint32_t>(others + 1);
   if (proxies != mContext.mUpstreams.mProxies) {
@@ -348,9 +356,9 @@
     if (mLease != 0) {
       const auto kept = store.KeepLease(mLease);
       NoteStore(bool(kept), kept ? "" : kept.error().mDetail);
+      const auto own = mProxies.find(mContext.Name());
       const bool registered =
-        mProxies.count(mContext.Name()) > 0 &&
-        mContext.Now() - mProxies[mContext.Name()] < settings.mListInterval * 2;
+        own != mProxies.end() && own->second.mIsRegistered;
       if (kept && kept.value() && registered) {
         mContext.mLoop.Sleep(settings.mRegistrationRenewal);
         continue;
@@ -379,7 +387,7 @@
           done,
           mLease);
       if (done) {
-        mProxies[mContext.Name()] = mContext.Now();
+        mProxies[mContext.Name()] = { true, mContext.Now() };
         mContext.mLoop.Sleep(settings.mRegistrationRenewal);
         continue;
       }
--- a/Source/Sessions/clStateKeeper.h
+++ b/Source/Sessions/clStateKeeper.h
@@ -29,8 +29,8 @@
   /// Entries that were missing may have been missing for long enough now.
   void ReviewInstances();
 
-  /// A complete picture was read.
-  bool IsComplete() const { return mComplete; }
+  /// Everything that serving needs was read.
+  bool IsComplete() const { return mListed && mContext.mDesired != nullptr; }
 
   /// Ends the registration, so that the others take this proxy's share.
   void Leave();
@@ -53,10 +53,17 @@
 
   session_context& mContext;
   std::map<std::string, instance_entry> mInstances;
-  std::map<std::string, time_point> mProxies;
+  struct proxy_presence
+  {
+    bool mIsRegistered = false;
+    /// When its key was last known to exist.
+    time_point mSeenAt;
+  };
+
+  std::map<std::string, proxy_presence> mProxies;
   store_revision mWatchFrom = 0;
   time_point mListedAt;
-  bool mComplete = false;
+  bool mListed = false;
   bool mStoreReached = false;
   bool mRefreshing = false;
   store_lease mLease = 0;
--- a/Source/Sessions/clStatementService.cxx
+++ b/Source/Sessions/clStatementService.cxx
@@ -8,6 +8,13 @@
 
 namespace {
 
+/// Smoothed answer times after which an answer counts as lost.  Source: the
+/// slowest answers of the deployments take seven times the mean.
+constexpr int kPatienceFactor = 8;
+
+/// Least such time, so that a short stall of an instance is sat out.
+constexpr milliseconds kLeastPatience{ 250 };
+
 /// Tries of one statement before its caller is told to come back.
 constexpr std::uint32_t kMaxTries = 6;
 
@@ -173,6 +180,16 @@
                                milliseconds(1));
 }
 
+nanoseconds
+statement_service::PatienceFor(const upstream_instance& aInstance,
+                               const attempt& aAttempt) const
+{
+  const nanoseconds left = LeftOf(aAttempt);
+  const nanoseconds patience = std::max<nanoseconds>(
+    aInstance.mAnswerTime * kPatienceFactor, kLeastPatience);
+  return patience + kLeastPatience < left ? patience : left;
+}
+
 bool
 statement_service::AwaitProof(upstream_group& aGroup, attempt& aAttempt)
 {
@@ -182,7 +199,7 @@
   if (leadership.WantsEvidence(mContext.Now())) {
     mContext.mRefreshLeadership();
   }
-  bool asked = false;
+  std::uint32_t steps = 0;
   while (!leadership.IsProvenAt(aAttempt.mReceivedAt)) {
     const time_point now = mContext.Now();
     if (now >= until) {
@@ -190,13 +207,15 @@
     }
     // The store is asked first; the group itself when the store is slow or
     // says that the leader may be replaced.
-    const time_point step = now + mContext.mSettings.mLeaderPause;
-    aGroup.Changed().WaitUntil(std::min(step, until));
-    if (!leadership.IsProvenAt(aAttempt.mReceivedAt) && !asked &&
-        mContext.Now() >= step) {
-      asked = true;
+    if (steps > 0) {
+      mContext.mRefreshLeadership();
       aGroup.AskGroup();
     }
+    ++steps;
+    if (!leadership.IsProvenAt(aAttempt.mReceivedAt)) {
+      aGroup.Changed().WaitUntil(
+        std::min(now + mContext.mSettings.mLeaderPause, until));
+    }
   }
   return true;
 }
@@ -316,9 +335,9 @@
   const bool notRun =
     aReply.mOutcome == exchange_outcome::NotSent ||
     (aReply.IsAnswered() && aReply.mError && IsNothingKept(*aReply.mError));
-  const bool harmless = aMode == access_mode::Read &&
-                        (aReply.mOutcome == exchange_outcome::Broken ||
-                         aReply.Is(statement_error::Failed));
+  const bool harmless =
+    aMode == access_mode::Read &&
+    (!aReply.IsAnswered() || aReply.Is(statement_error::Failed));
   if (!(notRun || harmless) || aAttempt.mTries >= kMaxTries ||
       mContext.Now() >= aAttempt.mDeadline) {
     return false;
@@ -381,7 +400,10 @@
     const bool isWrite = aMode == access_mode::Write;
     const auto floor = isWrite ? std::nullopt : fresh.value().mFloor;
     statement_reply reply = group.Exchange(
-      loan, Encode(aStatement, prepared, floor), LeftOf(aAttempt), isWrite);
+      loan,
+      Encode(aStatement, prepared, floor),
+      isWrite ? LeftOf(aAttempt) : PatienceFor(*instance, aAttempt),
+      isWrite);
     if (reply.IsAnswered() && reply.mPhase != session_phase::Idle) {
       // A lone statement leaves no transaction; what this is is not known.
       loan.mConnection->Close();
@@ -503,7 +525,7 @@
   statement_reply reply =
     group.Exchange(transaction.mLoan,
                    Encode(aStatement, prepared, std::nullopt),
-                   LeftOf(aAttempt),
+                   PatienceFor(*transaction.mLoan.mInstance, aAttempt),
                    false);
   transaction.mIdleSince = mContext.Now();
   if (reply.IsDone()) {
--- a/Source/Sessions/clStatementService.h
+++ b/Source/Sessions/clStatementService.h
@@ -166,6 +166,9 @@
     return mContext.Group(aSession.mRoute->mService);
   }
   nanoseconds LeftOf(const attempt& aAttempt) const;
+  /// Time to wait for one answer that may be asked for elsewhere or again.
+  nanoseconds PatienceFor(const upstream_instance& aInstance,
+                          const attempt& aAttempt) const;
   void CountRead(const upstream_group& aGroup,
                  const upstream_instance& aInstance);
 
--- a/Source/Sessions/clStoreKeys.cxx
+++ b/Source/Sessions/clStoreKeys.cxx
@@ -19,6 +19,7 @@
   }
   const json::object body{
     { "contested", aRecord.mPhase == failover_phase::Contested },
+    { "commits_stopped", aRecord.mCommitsStopped },
     { "leader", aRecord.mLeader },
     { "floor_term", aRecord.mFloor.mTerm },
     { "floor_index", aRecord.mFloor.mIndex },
@@ -37,6 +38,7 @@
     failover_record record;
     record.mPhase = body.at("contested").as_bool() ? failover_phase::Contested
                                                    : failover_phase::Settled;
+    record.mCommitsStopped = body.at("commits_stopped").as_bool();
     record.mLeader = json::value_to<std::string>(body.at("leader"));
     record.mFloor.mTerm = body.at("floor_term").to_number<std::uint64_t>();
     record.mFloor.mIndex = body.at("floor_index").to_number<std::uint64_t>();
--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -52,12 +52,20 @@
 }
 
 std::uint32_t
-upstream_group::ShareOf() const
+upstream_group::LargestShare() const
 {
   const std::uint32_t proxies = std::max(mEnvironment.mProxies, 1U);
   return std::max(mDeclared.mMaxConnections / proxies, 1U);
 }
 
+std::uint32_t
+upstream_group::UsualShare() const
+{
+  // The other half is for proxies that come back while the connections of
+  // their former life still count.
+  return std::max(LargestShare() / 2, 1U);
+}
+
 void
 upstream_group::ApplyEntries(const std::vector<instance_entry>& aEntries)
 {
@@ -122,9 +130,20 @@
   WakeAll();
 }
 
+placement
+upstream_group::Select(const placement_need& aNeed, time_point aNow) const
+{
+  const placement usual = SelectInstance(Candidates(false), aNeed, aNow);
+  return usual.mEnd == placement_end::AllBusy
+           ? SelectInstance(Candidates(true), aNeed, aNow)
+           : usual;
+}
+
 std::vector<instance_candidate>
-upstream_group::Candidates() const
+upstream_group::Candidates(bool aMayStretch) const
 {
+  const std::uint32_t share = aMayStretch ? LargestShare() : UsualShare();
+  const time_point now = Now();
   std::vector<instance_candidate> candidates;
   candidates.reserve(mInstances.size());
   for (const auto& instance : mInstances) {
@@ -138,8 +157,9 @@
     candidate.mPosition = instance->mPosition;
     candidate.mInFlight = instance->mInFlight;
     candidate.mSlots = instance->mEntry.mSlots;
-    candidate.mHasRoom =
-      !instance->mIdle.empty() || instance->mOpen < ShareOf();
+    candidate.mHasIdle = !instance->mIdle.empty();
+    candidate.mMayOpen =
+      instance->mOpen < share && now >= instance->mNoOpenUntil;
     candidate.mAnswerTime = instance->mAnswerTime;
     candidates.push_back(candidate);
   }
@@ -154,14 +174,14 @@
     std::min(aRequest.mDeadline, Now() + mEnvironment.mSettings.mLeaderWait);
   while (true) {
     const time_point now = Now();
-    const placement chosen = SelectInstance(Candidates(), need, now);
+    const placement chosen = Select(need, now);
     if (chosen.mEnd == placement_end::Chosen) {
       auto instance = mInstances[chosen.mInstance];
       auto connection = TakeIdle(*instance, *aRequest.mSession);
       if (connection) {
         return connection_loan{ std::move(instance), std::move(connection) };
       }
-      if (instance->mOpen >= ShareOf()) {
+      if (instance->mOpen >= LargestShare()) {
         continue;
       }
       auto opened = OpenNew(std::move(instance), aRequest.mDeadline);
@@ -240,7 +260,11 @@
   }
   --aInstance->mOpen;
   --aInstance->mInFlight;
-  aInstance->mAvoidedUntil = Now() + settings.mAvoidPause;
+  if (reply.Is(statement_error::ConnectionLimit)) {
+    aInstance->mNoOpenUntil = Now() + settings.mAvoidPause;
+  } else {
+    aInstance->mAvoidedUntil = Now() + settings.mAvoidPause;
+  }
   Log(log_level::Info,
       "upstream",
       "Instance did not accept a connection. instance={} error={}",
@@ -299,7 +323,7 @@
   upstream_instance& instance = *aLoan.mInstance;
   --instance.mInFlight;
   const bool keep = aLoan.mConnection->IsOpen() && !instance.mGone &&
-                    instance.mOpen <= ShareOf();
+                    instance.mOpen <= LargestShare();
   if (keep) {
     instance.mIdle.push_back(std::move(aLoan.mConnection));
   } else {
@@ -368,6 +392,19 @@
   return reply.IsDone() ? std::move(connection) : nullptr;
 }
 
+bool
+upstream_group::AnswersAnew(const upstream_instance& aInstance)
+{
+  statement_connection connection(mEnvironment.mLoop,
+                                  mEnvironment.mCodec,
+                                  mEnvironment.mSettings.mMaxLineBytes);
+  const statement_reply reply =
+    connection.Open(aInstance.mEntry,
+                    mEnvironment.mProxy,
+                    mEnvironment.mSettings.mOrderTimeout);
+  return reply.IsAnswered();
+}
+
 result<instance_status>
 upstream_group::Order(upstream_instance& aInstance,
                       instance_order aOrder,
@@ -412,39 +449,88 @@
   return status;
 }
 
-bool
+std::vector<result<instance_status>>
+upstream_group::OrderEach(
+  const std::vector<std::shared_ptr<upstream_instance>>& aInstances,
+  const std::function<instance_order(const upstream_instance&)>& aOrder,
+  term_number aTerm)
+{
+  std::vector<result<instance_status>> answers(
+    aInstances.size(),
+    result<instance_status>(
+      error{ error_kind::UpstreamUnreachable, "no answer" }));
+  std::size_t open = aInstances.size();
+  fiber_wait ended;
+  for (std::size_t i = 0; i < aInstances.size(); ++i) {
+    mEnvironment.mLoop.Spawn([&, i] {
+      answers[i] = Order(*aInstances[i], aOrder(*aInstances[i]), aTerm);
+      --open;
+      if (open == 0) {
+        ended.Notify();
+      }
+    });
+  }
+  if (open > 0) {
+    ended.Wait();
+  }
+  return answers;
+}
+
+void
 upstream_group::AskGroup()
 {
   if (mAsking) {
-    return false;
+    return;
   }
   mAsking = true;
   const time_point sentAt = Now();
-  const auto leader = Leader();
-  bool proven = false;
-  if (leader) {
-    const auto own = Order(*leader, instance_order::Status, 0);
-    const bool leads = own && own.value().mLeads;
-    for (const auto& other : mInstances) {
-      if (!leads || proven) {
-        break;
-      }
-      if (other == leader) {
-        continue;
-      }
-      const auto status = Order(*other, instance_order::Status, 0);
-      proven = status && status.value().mHeldTerm == 0 &&
-               status.value().mTerm <= own.value().mTerm;
+  const auto instances = mInstances;
+  const auto answers = OrderEach(
+    instances,
+    [](const upstream_instance&) { return instance_order::Status; },
+    0);
+  std::vector<member_status> members;
+  for (std::size_t i = 0; i < instances.size(); ++i) {
+    if (answers[i]) {
+      const instance_status& status = answers[i].value();
+      members.push_back({ instances[i]->mEntry.mId,
+                          status.mLeads,
+                          status.mTerm,
+                          status.mHeldTerm,
+                          status.mReceived });
     }
-    if (proven) {
-      mLeadership.OnGroupEvidence(leader->mEntry.mId, sentAt);
-      mLeadership.OnLeaderPosition(
-        leader->mEntry.mId, own.value().mReceived, sentAt);
+  }
+  if (const auto leader = FindGroupLeader(members, mDeclared.mSyncReplicas)) {
+    const member_status& found = members[*leader];
+    if (found.mId != mLeadership.Leader()) {
+      Log(log_level::Info,
+          "failover",
+          "Leader found by asking the group. service={} instance={} term={}",
+          mService,
+          found.mId,
+          found.mTerm);
     }
+    mLeadership.OnGroupLeader(found.mId, sentAt);
+    mLeadership.OnLeaderPosition(found.mId, found.mReceived, sentAt);
   }
   mAsking = false;
-  mChanged.Raise();
-  return proven;
+  WakeAll();
+}
+
+void
+upstream_group::CloseSpares()
+{
+  const time_point oldest = Now() - mEnvironment.mSettings.mSpareLifetime;
+  for (const auto& instance : mInstances) {
+    const auto isSpare = [&](const auto& aConnection) {
+      return instance->mOpen > 1 && aConnection->mUsedAt < oldest;
+    };
+    // The front is the one that was used least lately.
+    while (!instance->mIdle.empty() && isSpare(instance->mIdle.front())) {
+      instance->mIdle.erase(instance->mIdle.begin());
+      --instance->mOpen;
+    }
+  }
 }
 
 void
--- a/Source/Sessions/clUpstreamGroup.h
+++ b/Source/Sessions/clUpstreamGroup.h
@@ -8,6 +8,7 @@
 #include "clPrimaryHealth.h"
 #include "clStatementConnection.h"
 
+#include <functional>
 #include <list>
 #include <memory>
 #include <optional>
@@ -31,7 +32,10 @@
   log_position mPosition;
   /// It said that it leads, in the directory or in an answer.
   bool mSaidLeads = false;
+  /// It did not answer a new connection; it is not tried until then.
   time_point mAvoidedUntil;
+  /// It has too many connections; none is opened until then.
+  time_point mNoOpenUntil;
   time_point mLaggingUntil;
   nanoseconds mAnswerTime{ 0 };
   primary_health mHealth;
@@ -96,22 +100,31 @@
                            nanoseconds aTimeout,
                            bool aIsCommit);
 
-  /// Opens a connection apart from the pool's limits, for orders.
-  std::unique_ptr<statement_connection> OpenForOrder(
-    const upstream_instance& aInstance);
+  /// True when the instance answers a new connection, be it with a refusal.
+  /// Open connections prove nothing: they may have gone silent alone.
+  bool AnswersAnew(const upstream_instance& aInstance);
 
   /// Sends an order to an instance.  Errors: UpstreamUnreachable.
   result<instance_status> Order(upstream_instance& aInstance,
                                 instance_order aOrder,
                                 term_number aTerm);
 
-  /// Asks the leader and the others whether a promotion may have happened.
-  /// Takes evidence of leadership from the answers; true when there was any.
-  bool AskGroup();
+  /// Sends an order to several instances at the same time; the answers stand
+  /// in the instances' order.
+  std::vector<result<instance_status>> OrderEach(
+    const std::vector<std::shared_ptr<upstream_instance>>& aInstances,
+    const std::function<instance_order(const upstream_instance&)>& aOrder,
+    term_number aTerm);
+
+  /// Asks every instance about itself, and takes from the answers who leads
+  /// and evidence for it.  One such question is under way at a time.
+  void AskGroup();
 
   std::shared_ptr<upstream_instance> Find(const std::string& aId) const;
   std::shared_ptr<upstream_instance> Leader() const;
-  const std::vector<std::shared_ptr<upstream_instance>>& Instances() const
+  /// The present instances, as a copy: the directory may change whenever the
+  /// calling fiber is suspended.
+  std::vector<std::shared_ptr<upstream_instance>> Instances() const
   {
     return mInstances;
   }
@@ -128,6 +141,9 @@
 
   void CloseIdle();
 
+  /// Closes connections that nothing has used for a while; one stays.
+  void CloseSpares();
+
 private:
   struct waiting_loan
   {
@@ -135,8 +151,16 @@
     fiber_wait* mWait = nullptr;
   };
 
-  std::vector<instance_candidate> Candidates() const;
-  std::uint32_t ShareOf() const;
+  /// Opens a connection apart from the pool, for an order.
+  std::unique_ptr<statement_connection> OpenForOrder(
+    const upstream_instance& aInstance);
+  /// aMayStretch: connections kept for returning proxies may be opened too.
+  std::vector<instance_candidate> Candidates(bool aMayStretch) const;
+  placement Select(const placement_need& aNeed, time_point aNow) const;
+  /// Connections to one instance that this proxy may hold at all.
+  std::uint32_t LargestShare() const;
+  /// Connections that it holds unless statements would wait.
+  std::uint32_t UsualShare() const;
   std::unique_ptr<statement_connection> TakeIdle(upstream_instance& aInstance,
                                                  const session_state& aSession);
   result<connection_loan> OpenNew(std::shared_ptr<upstream_instance> aInstance,
