failover: stop a leader that still answers, and look for members again before the order

The leader was only busy: a new connection was not answered within 250 ms. Its former peer had just come back and was not in the directory yet, so that it confirmed commits after the stop. Ruled out: a lost hold; every known instance was held in the log. Change: a busy instance that accepts a connection has 1.5 s to answer; the former leader is told to step down in every attempt; a member that came up meanwhile starts the stop anew; no commit is sent to a leader whose commits are stopped; a claim is dropped if the record changed while it was confirmed.

--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -162,7 +162,10 @@
   // may begin while this one confirms its suspicion.
   const failover_record record = aGroup.Leadership().Record();
   mContext.mLoop.Spawn([this, &aGroup, aReason, record] {
-    if (Confirm(aGroup, aReason)) {
+    const bool confirmed = Confirm(aGroup, aReason);
+    const bool unchanged =
+      aGroup.Leadership().Record().mRevision == record.mRevision;
+    if (confirmed && unchanged) {
       const bool done = Attempt(aGroup, aReason, record);
       Log(log_level::Info,
           "failover",
@@ -288,6 +291,9 @@
     if (!StopCommits(now)) {
       return false;
     }
+    // A leader that still answers must not go on with instances that this
+    // proxy does not know yet.
+    StepPrimaryDown(now);
     const auto chosen = ChooseNextLeader(now.mMembers, now.mPrimary);
     if (!chosen) {
       return false;
@@ -303,6 +309,9 @@
     if (left > nanoseconds(0)) {
       mContext.mLoop.Sleep(left);
     }
+    if (HasNewMember(now)) {
+      continue;
+    }
     if (OrderPromotion(now, *chosen)) {
       if (Settle(now, *chosen)) {
         AwaitEffect(now, *chosen);
@@ -314,6 +323,47 @@
   return false;
 }
 
+void
+failover_runner::StepPrimaryDown(attempt& aAttempt)
+{
+  const auto primary = aAttempt.mGroup.Find(aAttempt.mPrimary);
+  failover_member& member = MemberOf(aAttempt.mMembers, aAttempt.mPrimary);
+  if (!primary || member.mStopped) {
+    return;
+  }
+  const auto status = aAttempt.mGroup.Order(
+    *primary, instance_order::StepDown, NewestTerm(aAttempt.mGroup) + 1);
+  if (status && !status.value().mLeads) {
+    MemberOf(aAttempt.mMembers, aAttempt.mPrimary).mStopped = true;
+    MemberOf(aAttempt.mMembers, aAttempt.mPrimary).mPosition =
+      status.value().mReceived;
+  }
+  Log(log_level::Info,
+      "failover",
+      "Former leader told to step down. service={} instance={} done={}",
+      aAttempt.mGroup.Service(),
+      aAttempt.mPrimary,
+      status && !status.value().mLeads);
+}
+
+bool
+failover_runner::HasNewMember(attempt& aAttempt)
+{
+  for (const auto& instance : aAttempt.mGroup.Instances()) {
+    const std::string& id = instance->mEntry.mId;
+    if (id != aAttempt.mPrimary && !MemberOf(aAttempt.mMembers, id).mStopped &&
+        aAttempt.mReason != failover_reason::Leaving) {
+      Log(log_level::Info,
+          "failover",
+          "Instance came up during the attempt. service={} instance={}",
+          aAttempt.mGroup.Service(),
+          id);
+      return true;
+    }
+  }
+  return false;
+}
+
 void
 failover_runner::StopOnce(attempt& aAttempt)
 {
--- a/Source/Sessions/clFailoverRunner.h
+++ b/Source/Sessions/clFailoverRunner.h
@@ -84,6 +84,9 @@
   bool WriteRecord(attempt& aAttempt);
   bool StopCommits(attempt& aAttempt);
   void StopOnce(attempt& aAttempt);
+  void StepPrimaryDown(attempt& aAttempt);
+  /// An instance is in the directory that was not stopped.
+  bool HasNewMember(attempt& aAttempt);
   void LevelWith(attempt& aAttempt);
   bool OrderPromotion(attempt& aAttempt, const std::string& aChosen);
   bool Settle(attempt& aAttempt, const std::string& aLeader);
--- a/Source/Sessions/clSessionSettings.h
+++ b/Source/Sessions/clSessionSettings.h
@@ -63,6 +63,10 @@
   milliseconds mCommitSilence{ 600 };
   /// Time for an instance to answer an order or a question.
   milliseconds mOrderTimeout{ 250 };
+  /// Time for an instance that has accepted a connection to answer on it.
+  /// Source: a full queue of an instance takes about half a second, and some
+  /// run five times slower.
+  milliseconds mBusyAnswer{ 1500 };
   /// Pace at which the leaders' silence is looked at.
   milliseconds mHealthInterval{ 100 };
   /// Time for other proxies to say whether they reach a leader.
--- a/Source/Sessions/clStatementConnection.cxx
+++ b/Source/Sessions/clStatementConnection.cxx
@@ -16,10 +16,11 @@
 statement_reply
 statement_connection::Open(const instance_entry& aEntry,
                            const std::string& aProxy,
-                           nanoseconds aTimeout)
+                           nanoseconds aConnectTimeout,
+                           nanoseconds aAnswerTimeout)
 {
   const time_point start = mLoop.Clock().Now();
-  if (const auto connected = mStream->Connect(aEntry.mAddress, aTimeout);
+  if (const auto connected = mStream->Connect(aEntry.mAddress, aConnectTimeout);
       !connected) {
     Log(log_level::Info,
         "upstream",
@@ -30,7 +31,7 @@
   }
   std::string bytes;
   mCodec.AppendOpen(bytes, aEntry.mService, aProxy, aEntry.mId);
-  const nanoseconds left = aTimeout - (mLoop.Clock().Now() - start);
+  const nanoseconds left = aAnswerTimeout - (mLoop.Clock().Now() - start);
   statement_reply reply =
     Exchange(bytes, std::max<nanoseconds>(left, milliseconds(1)));
   if (!reply.IsDone()) {
--- a/Source/Sessions/clStatementConnection.h
+++ b/Source/Sessions/clStatementConnection.h
@@ -63,7 +63,17 @@
   /// instance refused.
   statement_reply Open(const instance_entry& aEntry,
                        const std::string& aProxy,
-                       nanoseconds aTimeout);
+                       nanoseconds aTimeout)
+  {
+    return Open(aEntry, aProxy, aTimeout, aTimeout);
+  }
+
+  /// The same with a time of its own for the instance's answer: a busy
+  /// instance accepts at once and answers late.
+  statement_reply Open(const instance_entry& aEntry,
+                       const std::string& aProxy,
+                       nanoseconds aConnectTimeout,
+                       nanoseconds aAnswerTimeout);
 
   /// Sends bytes that hold one statement and reads its whole answer.
   statement_reply Exchange(std::string_view aBytes, nanoseconds aTimeout);
--- a/Source/Sessions/clStatementService.cxx
+++ b/Source/Sessions/clStatementService.cxx
@@ -573,6 +573,13 @@
   open_transaction& transaction = *aSession.mTransaction;
   upstream_group& group = GroupOf(aSession);
   const bool wrote = transaction.mWrote;
+  const bool stopped = group.Leadership().Record().mCommitsStopped;
+  if (wrote && stopped) {
+    // The leader is being replaced and could not acknowledge it; not sent, it
+    // keeps nothing.
+    EndTransaction(aSession, false);
+    return Fail(statement_error::Aborted, "the leader is being replaced");
+  }
   statement_reply reply =
     group.Exchange(transaction.mLoan,
                    Encode(aStatement, std::nullopt, std::nullopt),
--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -149,7 +149,8 @@
   for (const auto& instance : mInstances) {
     instance_candidate candidate;
     candidate.mLeads = instance->mEntry.mId == mLeadership.Leader();
-    candidate.mLeaderReady = instance->mSaidLeads;
+    candidate.mLeaderReady =
+      instance->mSaidLeads && !mLeadership.Record().mCommitsStopped;
     candidate.mSameZone = instance->mEntry.mZone == mEnvironment.mZone;
     candidate.mDraining = instance->mEntry.mDraining;
     candidate.mAvoidedUntil = instance->mAvoidedUntil;
@@ -401,7 +402,8 @@
   const statement_reply reply =
     connection.Open(aInstance.mEntry,
                     mEnvironment.mProxy,
-                    mEnvironment.mSettings.mOrderTimeout);
+                    mEnvironment.mSettings.mOrderTimeout,
+                    mEnvironment.mSettings.mBusyAnswer);
   return reply.IsAnswered();
 }
 
