tests: a stand-in of the platform, unit tests and process tests of sessions

The stand-in keeps a store, one group of three instances and the promotion call; process tests run two real proxies before it and cause crashes, dark and cut-off leaders, hand-overs, lost answers, outages of the store and SIGTERM.

Found by them: after a promotion order without an answer, the attempt asked for stops that a crashed instance can't give, and writes stayed out. Ruled out: the fence; the order was accepted. Change: the same instance is ordered again under a new token, which needs no stop of its own commits.

--- a/Source/Decisions/clFailoverPlan.cxx
+++ b/Source/Decisions/clFailoverPlan.cxx
@@ -47,6 +47,15 @@
     });
 }
 
+std::optional<std::string>
+OnlyOrdered(const std::vector<std::string>& aMayLead)
+{
+  if (aMayLead.size() != 1) {
+    return std::nullopt;
+  }
+  return aMayLead.front();
+}
+
 std::optional<std::string>
 ChooseNextLeader(const std::vector<failover_member>& aMembers,
                  const std::string& aPrimary)
--- a/Source/Decisions/clFailoverPlan.h
+++ b/Source/Decisions/clFailoverPlan.h
@@ -33,6 +33,12 @@
                      const std::vector<std::string>& aMayLead,
                      std::uint32_t aSyncReplicas);
 
+/// Instance whose promotion was ordered without an answer, if it is the only
+/// one.  Ordering it again needs no stop of its own commits: whenever the
+/// former order takes effect, the same instance leads.
+std::optional<std::string>
+OnlyOrdered(const std::vector<std::string>& aMayLead);
+
 /// The stopped instance that holds every acknowledged commit and should lead:
 /// the longest log, and among equals one that stays, the present primary last.
 /// Empty when none was stopped.
--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -275,6 +275,7 @@
                {},     {} };
   now.mGiveUpAt = mContext.Now() + kAttemptLimit;
   now.mRecord.mPhase = failover_phase::Contested;
+  now.mRecord.mCommitsStopped = false;
   now.mRecord.mHolder = mContext.Name();
   now.mRecord.mLeader = now.mPrimary;
   Log(log_level::Info,
@@ -294,7 +295,7 @@
     // A leader that still answers must not go on with instances that this
     // proxy does not know yet.
     StepPrimaryDown(now);
-    const auto chosen = ChooseNextLeader(now.mMembers, now.mPrimary);
+    const auto chosen = ChooseFor(now);
     if (!chosen) {
       return false;
     }
@@ -414,6 +415,33 @@
   }
 }
 
+std::optional<std::string>
+failover_runner::ChooseFor(const attempt& aAttempt) const
+{
+  const auto ordered = OnlyOrdered(aAttempt.mRecord.mPossibleLeaders);
+  const bool answers =
+    ordered && std::any_of(aAttempt.mMembers.begin(),
+                           aAttempt.mMembers.end(),
+                           [&ordered](const failover_member& aMember) {
+                             return aMember.mId == *ordered && aMember.mStopped;
+                           });
+  return answers ? ordered
+                 : ChooseNextLeader(aAttempt.mMembers, aAttempt.mPrimary);
+}
+
+bool
+failover_runner::IsStopped(const attempt& aAttempt) const
+{
+  std::vector<std::string> mayLead = aAttempt.mRecord.mPossibleLeaders;
+  if (const auto next = ChooseFor(aAttempt)) {
+    std::erase(mayLead, *next);
+  }
+  return IsEveryCommitStopped(aAttempt.mMembers,
+                              aAttempt.mPrimary,
+                              mayLead,
+                              aAttempt.mGroup.Declared().mSyncReplicas);
+}
+
 bool
 failover_runner::StopCommits(attempt& aAttempt)
 {
@@ -424,11 +452,7 @@
       return aMember.mId != aAttempt.mPrimary && !group.Find(aMember.mId);
     });
     StopOnce(aAttempt);
-    const bool stopped = IsEveryCommitStopped(aAttempt.mMembers,
-                                              aAttempt.mPrimary,
-                                              aAttempt.mRecord.mPossibleLeaders,
-                                              group.Declared().mSyncReplicas);
-    if (stopped) {
+    if (IsStopped(aAttempt)) {
       aAttempt.mStoppedAt = mContext.Now();
       if (aAttempt.mReason == failover_reason::Leaving) {
         LevelWith(aAttempt);
--- a/Source/Sessions/clFailoverRunner.h
+++ b/Source/Sessions/clFailoverRunner.h
@@ -83,6 +83,10 @@
                const failover_record& aRecord);
   bool WriteRecord(attempt& aAttempt);
   bool StopCommits(attempt& aAttempt);
+  /// Every commit that another leader than the next one could acknowledge is
+  /// stopped.
+  bool IsStopped(const attempt& aAttempt) const;
+  std::optional<std::string> ChooseFor(const attempt& aAttempt) const;
   void StopOnce(attempt& aAttempt);
   void StepPrimaryDown(attempt& aAttempt);
   /// An instance is in the directory that was not stopped.
--- a/Source/Sessions/clStatementService.cxx
+++ b/Source/Sessions/clStatementService.cxx
@@ -27,13 +27,6 @@
   return outcome;
 }
 
-bool
-IsCommitLike(const statement& aStatement, access_mode aMode)
-{
-  return aStatement.mKind == statement_kind::Commit ||
-         aMode == access_mode::Write;
-}
-
 } // namespace
 
 statement_service::statement_service(session_context& aContext)
@@ -159,18 +152,18 @@
     }
     mode = prepared->mMode;
   }
-  attempt attempt;
-  attempt.mReceivedAt = aReceivedAt;
+  attempt tries;
+  tries.mReceivedAt = aReceivedAt;
   if (aSession.mTransaction) {
-    attempt.mDeadline = aReceivedAt + aSession.mRoute->mStatementTimeout;
+    tries.mDeadline = aReceivedAt + aSession.mRoute->mStatementTimeout;
     aSession.mTransaction->mWrote |= mode == access_mode::Write;
-    return AccessInTransaction(aSession, aStatement, attempt);
+    return AccessInTransaction(aSession, aStatement, tries);
   }
   if (!ResolveRoute(aSession)) {
     return Fail(statement_error::NoSuchDatabase, aSession.mDatabase);
   }
-  attempt.mDeadline = aReceivedAt + aSession.mRoute->mStatementTimeout;
-  return AccessAlone(aSession, aStatement, mode, attempt);
+  tries.mDeadline = aReceivedAt + aSession.mRoute->mStatementTimeout;
+  return AccessAlone(aSession, aStatement, mode, tries);
 }
 
 nanoseconds
@@ -450,16 +443,16 @@
   upstream_group& group = GroupOf(aSession);
   open_transaction& transaction = *aSession.mTransaction;
   const access_mode mode = transaction.mBegin.mMode;
-  attempt attempt = aAttempt;
-  attempt.mReceivedAt = transaction.mBeganAt;
+  attempt tries = aAttempt;
+  tries.mReceivedAt = transaction.mBeganAt;
   while (true) {
-    ++attempt.mTries;
-    const auto fresh = FreshnessFor(aSession, group, mode, attempt);
+    ++tries.mTries;
+    const auto fresh = FreshnessFor(aSession, group, mode, tries);
     if (!fresh) {
       return FailTransaction(
         aSession, statement_error::Busy, fresh.error().mDetail);
     }
-    auto borrowed = Borrow(aSession, group, fresh.value(), attempt);
+    auto borrowed = Borrow(aSession, group, fresh.value(), tries);
     if (!borrowed) {
       return FailTransaction(
         aSession, statement_error::Busy, borrowed.error().mDetail);
@@ -468,21 +461,21 @@
     const std::shared_ptr<upstream_instance> instance = loan.mInstance;
     statement_reply reply;
     if (!PrepareConnection(
-          aSession, group, loan, std::nullopt, LeftOf(attempt))) {
+          aSession, group, loan, std::nullopt, LeftOf(tries))) {
       reply = group.Exchange(
         loan,
         Encode(transaction.mBegin, std::nullopt, fresh.value().mFloor),
-        LeftOf(attempt),
+        LeftOf(tries),
         false);
     }
     if (reply.IsDone()) {
       transaction.mLoan = std::move(loan);
-      aAttempt.mTries = attempt.mTries;
+      aAttempt.mTries = tries.mTries;
       return std::nullopt;
     }
     group.Return(std::move(loan));
     // A transaction that was only begun keeps nothing.
-    if (!MayTryAgain(group, *instance, reply, access_mode::Read, attempt)) {
+    if (!MayTryAgain(group, *instance, reply, access_mode::Read, tries)) {
       return FailTransaction(
         aSession, statement_error::Aborted, "the transaction did not begin");
     }
@@ -561,11 +554,11 @@
     EndTransaction(aSession, false);
     return Fail(statement_error::Aborted, "the transaction had failed");
   }
-  attempt attempt;
-  attempt.mReceivedAt = aReceivedAt;
-  attempt.mDeadline = aReceivedAt + aSession.mRoute->mStatementTimeout;
+  attempt tries;
+  tries.mReceivedAt = aReceivedAt;
+  tries.mDeadline = aReceivedAt + aSession.mRoute->mStatementTimeout;
   if (!aSession.mTransaction->mLoan) {
-    if (auto failed = OpenTransaction(aSession, attempt)) {
+    if (auto failed = OpenTransaction(aSession, tries)) {
       EndTransaction(aSession, false);
       return *failed;
     }
@@ -583,7 +576,7 @@
   statement_reply reply =
     group.Exchange(transaction.mLoan,
                    Encode(aStatement, std::nullopt, std::nullopt),
-                   LeftOf(attempt),
+                   LeftOf(tries),
                    wrote);
   statement_outcome outcome;
   outcome.mInstance = transaction.mLoan.mInstance->mEntry.mId;
--- /dev/null
+++ b/StandIns/fleet_stand_in.py
@@ -0,0 +1,426 @@
+"""Stand-in of the users' platform, for tests: its store, the instances of one
+database group, and the promotion call with its fence.
+
+It runs in a thread of the test's own process, which switches faults by calling
+its methods.  Not modelled: rates and prices, paging, time lost to a slot's
+queue beyond its length, and machines that freeze.
+"""
+
+import asyncio
+import base64
+import json
+import threading
+import urllib.parse
+
+REPLICATION_S = 0.004
+PROMOTE_S = 0.3
+SERVICE = "core"
+
+
+class Store:
+    """Keys with revisions, leases, history and watches."""
+
+    def __init__(self):
+        self.items = {}
+        self.revision = 1
+        self.events = []
+        self.leases = {}
+        self.changed = asyncio.Condition()
+        self.mode = "up"
+        self.lose_answers = 0
+
+    async def write(self, key, value, lease=0):
+        self.revision += 1
+        created = self.items[key]["created"] if key in self.items else None
+        item = {"key": key, "value": base64.b64encode(value).decode(),
+                "revision": self.revision,
+                "created": created or self.revision, "lease": lease}
+        self.items[key] = item
+        self.events.append(item)
+        await self.tell()
+
+    async def delete(self, key):
+        if self.items.pop(key, None) is None:
+            return
+        self.revision += 1
+        self.events.append(
+            {"key": key, "revision": self.revision, "deleted": True})
+        await self.tell()
+
+    async def tell(self):
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def end_lease(self, lease):
+        self.leases.pop(lease, None)
+        for key in [k for k, i in self.items.items() if i["lease"] == lease]:
+            await self.delete(key)
+
+    async def handle(self, method, path, query, body):
+        if path == "/kv-range":
+            items = [self.items[k] for k in sorted(self.items)
+                     if k.startswith(query["prefix"])]
+            return 200, {"items": items, "has_more": False,
+                         "as_of": self.revision}
+        if path == "/kv-watch":
+            return await self.watch(query)
+        if path == "/kv-txn":
+            return await self.transact(body)
+        if path == "/kv-lease":
+            lease = 1000 + self.revision + len(self.leases)
+            self.leases[lease] = body["ttl_ms"]
+            return 200, {"lease": lease, "ttl_ms": body["ttl_ms"]}
+        if path.startswith("/kv-keep/"):
+            lease = int(path.rsplit("/", 1)[1])
+            return (200, {"ttl_ms": 1}) if lease in self.leases else (404, {})
+        if path.startswith("/kv-lease-end/") and method == "DELETE":
+            await self.end_lease(int(path.rsplit("/", 1)[1]))
+            return 200, {}
+        return 404, {}
+
+    async def watch(self, query):
+        after = int(query["after"])
+
+        def news():
+            return [e for e in self.events if e["revision"] > after
+                    and e["key"].startswith(query["prefix"])]
+        try:
+            async with self.changed:
+                await asyncio.wait_for(
+                    self.changed.wait_for(lambda: bool(news())),
+                    int(query["wait_ms"]) / 1000)
+        except asyncio.TimeoutError:
+            pass
+        return 200, {"events": news(), "as_of": self.revision}
+
+    async def transact(self, body):
+        for row in body["expected_rev"]:
+            item = self.items.get(row["key"])
+            if (item["revision"] if item else 0) != row["revision"]:
+                return 412, {"items": [item] if item else []}
+        for put in body["puts"]:
+            lease = put.get("lease", 0)
+            if lease and lease not in self.leases:
+                return 404, {}
+            await self.write(put["key"], base64.b64decode(put["value"]), lease)
+        for key in body["deletes"]:
+            await self.delete(key)
+        return 200, {"revision": self.revision}
+
+
+class Instance:
+    """One instance: a log, a role, and connections that speak lines."""
+
+    def __init__(self, fleet, ident, zone):
+        self.fleet, self.ident, self.zone = fleet, ident, zone
+        self.leads, self.term, self.held = False, 1, 0
+        self.log = []
+        self.draining = False
+        self.mode = "up"
+        self.lose_answers = 0
+        self.commit_delay_s = 0
+        self.cut_from_group = False
+        self.runs = []
+        self.writers = set()
+        self.address = None
+        self.server = None
+        self.refuse_after_accept = False
+
+    def position(self):
+        return f"{self.log[-1][0]}.{self.log[-1][1]}" if self.log else \
+            f"{1 if not self.log else self.term}.0"
+
+    def end(self):
+        return (self.log[-1][0], self.log[-1][1]) if self.log else (1, 0)
+
+    def value_of(self, item):
+        for _, _, writes in reversed(self.log):
+            for key, value in reversed(writes):
+                if key == item:
+                    return value
+        return "-"
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % \
+            self.server.sockets[0].getsockname()[1]
+        await self.register()
+
+    async def register(self):
+        entry = {"service": SERVICE, "address": self.address,
+                 "zone": self.zone, "slots": 3,
+                 "state": "draining" if self.draining else "ready",
+                 "db_role": "primary" if self.leads else "replica",
+                 "seq": 1, "born": 1700000000000}
+        await self.fleet.store.write("servers/" + self.ident,
+                                     json.dumps(entry).encode())
+
+    async def commit(self, writes):
+        """Appends and returns True once a replica has received it."""
+        index = self.log[-1][1] + 1 if self.log else 1
+        entry = (self.term, index, writes)
+        self.log.append(entry)
+        await asyncio.sleep(REPLICATION_S + self.commit_delay_s)
+        confirmed = False
+        while not confirmed:
+            if not self.leads or self.mode != "up":
+                return False
+            for other in self.fleet.instances.values():
+                if other is not self and other.receive(self):
+                    confirmed = True
+            if not confirmed:
+                await asyncio.sleep(0.02)
+        return True
+
+    def receive(self, leader):
+        apart = self.cut_from_group or leader.cut_from_group
+        if apart or self.mode != "up" or self.held > leader.term or \
+                self.leads or leader.term < self.term:
+            return False
+        self.term = leader.term
+        self.log = list(leader.log)
+        return True
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        state = {"open": False, "tx": None, "values": {}, "prepared": {}}
+        try:
+            while True:
+                line = await reader.readline()
+                if not line:
+                    return
+                while self.mode == "dark":
+                    await asyncio.sleep(0.05)
+                answer = await self.answer(line.decode().strip(), state)
+                words = line.decode().split(" ")
+                if self.lose_answers > 0 and words[0] == "QUERY" and \
+                        words[1] != "-":
+                    self.lose_answers -= 1
+                    await asyncio.sleep(30)
+                    return
+                while self.mode == "dark":
+                    await asyncio.sleep(0.05)
+                writer.write(answer.encode())
+                await writer.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def ready(self, state):
+        return f"READY {'T' if state['tx'] is not None else 'I'} " \
+               f"{self.position()}\r\n"
+
+    async def answer(self, line, state):
+        words = line.split(" ")
+        if words[0] == "STARTUP":
+            if words[1] != SERVICE or (len(words) > 3
+                                       and words[3] != self.ident):
+                return f"ERROR WRONGNODE {self.ident}\r\n"
+            return self.ready(state)
+        ident, text = words[1], words[2:]
+        return await self.statement(ident, text, state)
+
+    async def statement(self, ident, text, state):
+        if text[0] == "WAITFOR":
+            term, index = text[1].split(".")
+            if self.end() < (int(term), int(index)):
+                return f"ERROR LAGGING {self.ident}\r\n" + self.ready(state)
+            text = text[2:]
+        verb = text[0]
+        if verb in ("STATUS", "PAUSE", "RESUME", "STEPDOWN"):
+            return self.order(verb, text, state)
+        if verb == "SET":
+            state["values"][text[1]] = " ".join(text[2:])
+        elif verb == "PREPARE":
+            state["prepared"][text[1]] = text[2]
+        elif verb == "RESET":
+            state["values"], state["prepared"] = {}, {}
+        elif verb == "BEGIN":
+            if not self.leads and text[1:] != ["READ"]:
+                return f"ERROR READONLY {self.ident}\r\n" + self.ready(state)
+            state["tx"] = []
+        elif verb == "ROLLBACK":
+            state["tx"] = None
+        elif verb == "COMMIT":
+            writes, state["tx"] = state["tx"], None
+            if writes and not (self.leads and await self.commit(writes)):
+                return f"ERROR READONLY {self.ident}\r\n" + self.ready(state)
+            return self.done(ident, state)
+        elif verb == "EXECUTE":
+            mode = state["prepared"].get(text[1])
+            if mode is None:
+                return f"ERROR NOSUCHSTMT {text[1]}\r\n" + self.ready(state)
+            return await self.statement(ident, [mode] + text[2:], state)
+        elif verb == "READ":
+            self.runs.append((ident, "READ", dict(state["values"])))
+            return f"DATAROW {self.value_of(text[1])}\r\n" + \
+                self.done(ident, state)
+        elif verb == "WRITE":
+            if not self.leads:
+                return f"ERROR READONLY {self.ident}\r\n" + self.ready(state)
+            self.runs.append((ident, "WRITE", dict(state["values"])))
+            write = (text[1], " ".join(text[2:]))
+            if state["tx"] is not None:
+                state["tx"].append(write)
+            elif not await self.commit([write]):
+                return f"ERROR READONLY {self.ident}\r\n" + self.ready(state)
+            return self.done(ident, state)
+        return "COMPLETE -\r\n" + self.ready(state)
+
+    def done(self, ident, state):
+        return f"COMPLETE {self.ident}.{ident}\r\n" + self.ready(state)
+
+    def order(self, verb, text, state):
+        if verb == "PAUSE":
+            self.held = max(self.held, int(text[1]))
+        elif verb == "RESUME":
+            self.held = 0
+        elif verb == "STEPDOWN" and int(text[1]) > self.term and self.leads:
+            self.leads = False
+            asyncio.ensure_future(self.register())
+        role = "primary" if self.leads else "replica"
+        return f"DATAROW {role} {self.term} {self.position()} {self.held} " \
+               f"0 0 {len(self.writers)}\r\nCOMPLETE -\r\n" + \
+            self.ready(state)
+
+    async def crash(self):
+        """Connections reset; nothing listens."""
+        self.mode = "down"
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+
+class Fleet:
+    """Everything outside the proxies."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever,
+                                       daemon=True)
+        self.thread.start()
+        self.instances = {}
+        self.fence = 0
+        self.promotions = []
+        self.lose_promotions = 0
+        self.store_address = self.run(self.start())
+
+    def run(self, coroutine):
+        return asyncio.run_coroutine_threadsafe(
+            coroutine, self.loop).result(20)
+
+    async def start(self):
+        self.store = Store()
+        server = await asyncio.start_server(self.serve_http, "127.0.0.1", 0)
+        for number, zone in enumerate(("a", "b", "c"), 1):
+            instance = Instance(self, f"i-{number}", zone)
+            instance.leads = number == 1
+            self.instances[instance.ident] = instance
+            await instance.start()
+        return "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+
+    def declare(self, version, routes, timeout_ms=1000):
+        """Writes a desired state; routes maps a database to its type."""
+        body = {"version": version, "routes": [
+            {"name": f"r-{name}", "database": name, "type": kind,
+             "timeout_ms": timeout_ms, "target_latency_ms": 200,
+             "priority": 1, "service": SERVICE, "max_staleness_ms": 1500}
+            for name, kind in routes.items()],
+            "services": [{"name": SERVICE, "max_conns": 22,
+                          "sync_replicas": 1}],
+            "limits": {"tx_idle_ms": 3000}}
+        self.run(self.store.write("op/config", json.dumps(body).encode()))
+
+    def leader(self):
+        leaders = [i for i in self.instances.values() if i.leads]
+        return max(leaders, key=lambda i: i.term) if leaders else None
+
+    async def promote(self, headers, body):
+        token = int(headers["x-catkinloom-fencing-token"])
+        if token < self.fence:
+            return 409, {}
+        self.fence = token
+        chosen = self.instances[body["id"]]
+        if chosen.mode != "up":
+            return 409, {}
+        self.promotions.append((headers["x-catkinloom-lease-holder"], token,
+                                chosen.ident))
+        asyncio.ensure_future(self.take_lead(chosen))
+        return 200, {}
+
+    async def take_lead(self, chosen):
+        await asyncio.sleep(PROMOTE_S)
+        if chosen.leads:
+            return
+        term = max(i.term for i in self.instances.values()) + 1
+        for other in self.instances.values():
+            other.leads = False
+            other.held = 0
+        chosen.leads, chosen.term = True, term
+        for other in self.instances.values():
+            if other is not chosen and other.mode == "up":
+                other.term = term
+                other.log = list(chosen.log)
+        await chosen.register()
+
+    async def serve_http(self, reader, writer):
+        try:
+            while True:
+                request = (await reader.readuntil(b"\r\n\r\n")).decode()
+                head, *rows = request.strip().split("\r\n")
+                headers = {k.lower(): v.strip() for k, v in
+                           (row.split(":", 1) for row in rows)}
+                length = int(headers.get("content-length", 0))
+                raw = await reader.readexactly(length)
+                method, target, _ = head.split(" ")
+                url = urllib.parse.urlsplit(target)
+                query = dict(urllib.parse.parse_qsl(
+                    url.query, keep_blank_values=True))
+                body = json.loads(raw) if raw else {}
+                if not await self.answer_http(writer, method, url.path, query,
+                                              headers, body):
+                    return
+        except (ConnectionError, asyncio.IncompleteReadError,
+                asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    async def answer_http(self, writer, method, path, query, headers, body):
+        if path == "/failover":
+            status, answer = await self.promote(headers, body)
+            if self.lose_promotions > 0:
+                self.lose_promotions -= 1
+                await asyncio.sleep(5)
+                return False
+        elif self.store.mode == "silent":
+            await asyncio.sleep(5)
+            return False
+        elif self.store.mode == "busy":
+            status, answer = 503, {}
+        else:
+            status, answer = await self.store.handle(method, path, query, body)
+            if self.store.lose_answers > 0 and path == "/kv-txn":
+                self.store.lose_answers -= 1
+                await asyncio.sleep(5)
+                return False
+        raw = json.dumps(answer).encode()
+        writer.write((f"HTTP/1.1 {status} X\r\nContent-Type: application/json"
+                      f"\r\nContent-Length: {len(raw)}\r\n\r\n").encode()
+                     + raw)
+        await writer.drain()
+        return True
+
+    async def end_tasks(self):
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def stop(self):
+        self.run(self.end_tasks())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(5)
+        self.loop.close()
--- /dev/null
+++ b/Tests/Decisions/clFailoverPlanTest.cxx
@@ -0,0 +1,117 @@
+#include "clFailoverPlan.h"
+
+#include <doctest/doctest.h>
+
+using namespace catkinloom;
+
+namespace {
+
+/// Primary `a` with replicas `b` and `c`; one replica confirms a commit.
+struct failover_plan_fixture
+{
+  failover_member& Member(const std::string& aId)
+  {
+    for (failover_member& member : mMembers) {
+      if (member.mId == aId) {
+        return member;
+      }
+    }
+    return mMembers.emplace_back(failover_member{ aId, false, false, {} });
+  }
+
+  void Stop(const std::string& aId, log_position aPosition)
+  {
+    Member(aId).mStopped = true;
+    Member(aId).mPosition = aPosition;
+  }
+
+  bool IsStopped() const
+  {
+    return IsEveryCommitStopped(mMembers, "a", mMayLead, 1);
+  }
+
+  std::vector<failover_member> mMembers{ { "a", false, false, {} },
+                                         { "b", false, false, {} },
+                                         { "c", false, false, {} } };
+  std::vector<std::string> mMayLead;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(failover_plan_fixture, "stop_of_one_replica_is_not_enough")
+{
+  Stop("b", { 1, 5 });
+  CHECK_FALSE(IsStopped());
+}
+
+TEST_CASE_FIXTURE(failover_plan_fixture, "stop_of_every_replica_is_enough")
+{
+  Stop("b", { 1, 5 });
+  Stop("c", { 1, 5 });
+  CHECK(IsStopped());
+}
+
+TEST_CASE_FIXTURE(failover_plan_fixture, "stop_of_the_primary_is_enough")
+{
+  Stop("a", { 1, 5 });
+  CHECK(IsStopped());
+}
+
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "stop_of_the_primary_does_not_cover_a_late_order")
+{
+  // The promotion of `b` was ordered and not answered: it may still take
+  // effect, and then `c` would confirm its commits.
+  mMayLead = { "b" };
+  Stop("a", { 1, 5 });
+  Stop("b", { 1, 5 });
+  CHECK_FALSE(IsStopped());
+  Stop("c", { 1, 5 });
+  CHECK(IsStopped());
+}
+
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "stop_of_a_primary_that_was_ordered_again_does_not_count")
+{
+  mMayLead = { "a" };
+  Stop("a", { 1, 5 });
+  CHECK_FALSE(IsStopped());
+}
+
+TEST_CASE_FIXTURE(failover_plan_fixture, "choice_takes_the_longest_log")
+{
+  Stop("b", { 1, 5 });
+  Stop("c", { 1, 7 });
+  CHECK(ChooseNextLeader(mMembers, "a") == "c");
+}
+
+TEST_CASE_FIXTURE(failover_plan_fixture, "choice_compares_terms_first")
+{
+  Stop("b", { 2, 1 });
+  Stop("c", { 1, 700 });
+  CHECK(ChooseNextLeader(mMembers, "a") == "b");
+}
+
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "choice_between_equals_avoids_the_leaving_one")
+{
+  Stop("b", { 1, 5 });
+  Stop("c", { 1, 5 });
+  Member("b").mDraining = true;
+  CHECK(ChooseNextLeader(mMembers, "a") == "c");
+}
+
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "choice_takes_a_leaving_one_with_a_longer_log")
+{
+  Stop("b", { 1, 6 });
+  Stop("c", { 1, 5 });
+  Member("b").mDraining = true;
+  CHECK(ChooseNextLeader(mMembers, "a") == "b");
+}
+
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "choice_without_a_stopped_instance_is_empty")
+{
+  CHECK_FALSE(ChooseNextLeader(mMembers, "a"));
+}
--- /dev/null
+++ b/Tests/Platform/clDirectoryDocumentsTest.cxx
@@ -0,0 +1,89 @@
+#include "clDirectoryDocuments.h"
+
+#include <doctest/doctest.h>
+#include <string>
+
+using namespace catkinloom;
+using namespace catkinloom::platform;
+
+namespace {
+
+const std::string kState = R"({"version":7,
+  "routes":[
+    {"name":"r1","database":"reports","type":"primary","timeout_ms":800,
+     "target_latency_ms":150,"priority":1,"service":"core"},
+    {"name":"r2","database":"views","type":"bounded_staleness",
+     "timeout_ms":2000,"priority":2,"service":"core","max_staleness_ms":1500,
+     "something_new":[1,2]}],
+  "services":[{"name":"core","max_conns":22,"sync_replicas":1}],
+  "limits":{"tx_idle_ms":2500}})";
+
+const std::string kEntry = R"({"service":"core","address":"10.1.1.1:80",
+  "zone":"a","slots":3,"state":"ready","db_role":"replica","seq":4,
+  "born":1700000000000})";
+
+struct documents_fixture
+{
+  directory_documents mDocuments;
+};
+
+std::string
+Replaced(std::string aText, const std::string& aFrom, const std::string& aTo)
+{
+  aText.replace(aText.find(aFrom), aFrom.size(), aTo);
+  return aText;
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(documents_fixture, "desired_state_is_read_into_types")
+{
+  const auto state = mDocuments.DecodeDesiredState(kState);
+  REQUIRE(state);
+  CHECK(state.value().mVersion == 7);
+  const database_route& route = state.value().mRoutes.at("views");
+  CHECK(route.mConsistency == read_consistency::BoundedAge);
+  CHECK(route.mMaxAge == milliseconds(1500));
+  CHECK(route.mStatementTimeout == milliseconds(2000));
+  CHECK(state.value().mServices.at("core").mSyncReplicas == 1);
+  CHECK(state.value().mTransactionIdle == milliseconds(2500));
+}
+
+TEST_CASE_FIXTURE(documents_fixture,
+                  "desired_state_with_unknown_type_is_refused")
+{
+  const auto state = mDocuments.DecodeDesiredState(
+    Replaced(kState, "bounded_staleness", "quick"));
+  REQUIRE_FALSE(state);
+  CHECK(state.error().mDetail.find("quick") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(documents_fixture,
+                  "desired_state_that_is_no_document_is_refused")
+{
+  CHECK_FALSE(mDocuments.DecodeDesiredState("\x01\x02"));
+  CHECK_FALSE(mDocuments.DecodeDesiredState("[]"));
+  CHECK_FALSE(mDocuments.DecodeDesiredState(R"({"version":"seven"})"));
+}
+
+TEST_CASE_FIXTURE(documents_fixture, "instance_entry_is_read_into_types")
+{
+  const auto entry = mDocuments.DecodeInstance("i-1", kEntry);
+  REQUIRE(entry);
+  CHECK(entry.value().mId == "i-1");
+  CHECK(entry.value().mSlots == 3);
+  CHECK_FALSE(entry.value().mLeads);
+  CHECK(entry.value().mStartedAt == 1700000000000);
+}
+
+TEST_CASE_FIXTURE(documents_fixture,
+                  "instance_entry_of_another_writer_names_nothing")
+{
+  CHECK_FALSE(mDocuments.DecodeInstance("i-1", "not json"));
+  CHECK_FALSE(mDocuments.DecodeInstance(
+    "i-1", Replaced(kEntry, "\"ready\"", "\"dancing\"")));
+  CHECK_FALSE(
+    mDocuments.DecodeInstance("i-1", Replaced(kEntry, "\"core\"", "17")));
+  CHECK_FALSE(mDocuments.DecodeInstance(
+    "i-1", Replaced(kEntry, "\"db_role\":\"replica\",", "")));
+}
--- /dev/null
+++ b/Tests/Processes/fleet_case.py
@@ -0,0 +1,156 @@
+"""Fixture: the stand-in of the users' platform and real session proxies."""
+
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+import urllib.error
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+sys.path.insert(0, str(ROOT / "StandIns"))
+from fleet_stand_in import Fleet  # noqa: E402
+
+DAEMON = ROOT / "build" / "bin" / "catkinloom-sessiond"
+ROUTES = {"current": "primary", "aged": "bounded_staleness",
+          "own": "read_your_writes"}
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Proxy:
+    """One session proxy process."""
+
+    def __init__(self, name, zone, fleet, folder):
+        self.name = name
+        self.callers, self.ready, self.metrics = (free_port()
+                                                  for _ in range(3))
+        self.settings = folder / f"{name}.yaml"
+        self.settings.write_text(
+            f"name: {name}\nzone: {zone}\nlisten:\n"
+            f"  callers: 127.0.0.1:{self.callers}\n"
+            f"  ready: 127.0.0.1:{self.ready}\n"
+            f"  metrics: 127.0.0.1:{self.metrics}\n"
+            f"store:\n  address: {fleet.store_address}\n"
+            f"promotions:\n  address: {fleet.store_address}\n")
+        self.log = folder / f"{name}.log"
+        self.process = None
+
+    def start(self):
+        output = self.log.open("a")
+        self.process = subprocess.Popen(
+            [DAEMON, "--settings", self.settings], stdout=output,
+            stderr=subprocess.STDOUT)
+
+    def is_ready(self):
+        try:
+            url = f"http://127.0.0.1:{self.ready}/ready"
+            with urllib.request.urlopen(url, timeout=1) as answer:
+                return answer.status == 200
+        except (urllib.error.URLError, OSError):
+            return False
+
+    def figure(self, name):
+        url = f"http://127.0.0.1:{self.metrics}/metrics"
+        with urllib.request.urlopen(url, timeout=2) as answer:
+            for line in answer.read().decode().splitlines():
+                if line.startswith(name + " "):
+                    return float(line.rsplit(" ", 1)[1])
+        return None
+
+    def stop(self):
+        if self.process and self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+            self.process.wait(5)
+
+
+class Caller:
+    """One caller's session over the platform's lines."""
+
+    def __init__(self, proxy, database, timeout=5):
+        self.socket = socket.create_connection(
+            ("127.0.0.1", proxy.callers), timeout)
+        self.file = self.socket.makefile("rb")
+        self.number = 0
+        self.send(f"STARTUP {database} test")
+        self.opening = self.line()
+
+    def send(self, text):
+        self.socket.sendall(text.encode() + b"\r\n")
+
+    def line(self):
+        return self.file.readline().decode().strip()
+
+    def ask(self, text, ident=None):
+        """Sends one statement; returns its lines before READY, and READY."""
+        self.number += 1
+        self.send(f"QUERY {ident or f'q{id(self)}-{self.number}'} {text}")
+        lines = []
+        while True:
+            line = self.line()
+            if not line:
+                return lines, ""
+            if line.startswith("READY"):
+                return lines, line
+            lines.append(line)
+
+    def read(self, item):
+        lines, _ = self.ask(f"READ {item}")
+        if not lines or not lines[0].startswith("DATAROW"):
+            return lines
+        return lines[0].split(" ", 1)[1]
+
+    def write(self, item, value):
+        """True when the write was acknowledged."""
+        lines, _ = self.ask(f"WRITE {item} {value}")
+        return bool(lines) and lines[-1].startswith("COMPLETE i-")
+
+    def close(self):
+        self.file.close()
+        self.socket.close()
+
+
+def wait_until(condition, seconds=10, pause=0.02):
+    """Seconds until the condition holds; fails when it does not in time."""
+    start = time.monotonic()
+    while time.monotonic() < start + seconds:
+        if condition():
+            return time.monotonic() - start
+        time.sleep(pause)
+    raise AssertionError(f"not within {seconds} s")
+
+
+class FleetCase(unittest.TestCase):
+    """Two proxies before one group of three instances."""
+
+    PROXIES = (("p-1", "a"), ("p-2", "b"))
+
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.stop)
+        self.fleet.declare(2, ROUTES)
+        self.proxies = [
+            Proxy(name, zone, self.fleet, pathlib.Path(self.folder.name))
+            for name, zone in self.PROXIES]
+        for proxy in self.proxies:
+            proxy.start()
+            self.addCleanup(proxy.stop)
+        for proxy in self.proxies:
+            wait_until(proxy.is_ready)
+
+    def caller(self, database, proxy=0):
+        caller = Caller(self.proxies[proxy], database)
+        self.addCleanup(caller.close)
+        self.assertEqual(caller.opening, "READY I -")
+        return caller
--- /dev/null
+++ b/Tests/Processes/test_sessions.py
@@ -0,0 +1,298 @@
+"""Sessions through real proxies, before the stand-in of the platform."""
+
+import signal
+import threading
+import time
+import unittest
+
+from fleet_case import Caller, FleetCase, ROUTES, wait_until
+
+
+class SessionTest(FleetCase):
+    def test_values_and_prepared_names_of_two_callers_stay_apart(self):
+        first, second = self.caller("current"), self.caller("current")
+        first.ask("SET who nurse")
+        second.ask("SET who clerk")
+        first.ask("PREPARE s1 READ shape-a")
+        second.ask("PREPARE s1 WRITE shape-b")
+        for _ in range(5):
+            self.assertIn("COMPLETE i-1.a", first.ask("EXECUTE s1 x", "a")[0])
+            self.assertIn("COMPLETE i-1.b",
+                          second.ask("EXECUTE s1 x v", "b")[0])
+        runs = self.fleet.instances["i-1"].runs
+        self.assertEqual({(i, k, v["who"]) for i, k, v in runs},
+                         {("a", "READ", "nurse"), ("b", "WRITE", "clerk")})
+
+    def test_transaction_commits_or_leaves_nothing(self):
+        caller, other = self.caller("current"), self.caller("current", 1)
+        self.assertEqual(caller.ask("BEGIN")[1], "READY T -")
+        caller.ask("WRITE x one")
+        self.assertEqual(other.read("x"), "-")
+        self.assertTrue(caller.ask("COMMIT")[0][-1].startswith("COMPLETE i-"))
+        self.assertEqual(other.read("x"), "one")
+        caller.ask("BEGIN")
+        caller.ask("WRITE x two")
+        self.assertEqual(caller.ask("ROLLBACK"),
+                         (["COMPLETE -"], "READY I -"))
+        self.assertEqual(other.read("x"), "one")
+
+    def test_caller_gone_in_a_transaction_leaves_nothing(self):
+        caller = self.caller("current")
+        caller.ask("BEGIN")
+        caller.ask("WRITE x half")
+        caller.close()
+        other = self.caller("current")
+        for _ in range(10):
+            self.assertEqual(other.read("x"), "-")
+
+    def test_own_write_is_read_from_a_replica(self):
+        caller = self.caller("own", 1)
+        for number in range(30):
+            self.assertTrue(caller.write("x", number))
+            self.assertEqual(caller.read("x"), str(number))
+        name = 'catkinloom_session_reads_total{served_by="replica"}'
+        self.assertGreater(self.proxies[1].figure(name), 0)
+
+    def test_unknown_database_is_refused_and_closed(self):
+        caller = Caller(self.proxies[0], "nowhere")
+        self.assertTrue(caller.opening.startswith("ERROR NOSUCHDB"))
+        self.assertEqual(caller.line(), "")
+        caller.close()
+
+    def test_broken_messages_get_an_error_and_the_session_goes_on(self):
+        caller = self.caller("current")
+        for text in ("DANCE x", "PREPARE s1 RUN q", "COMMIT", "EXECUTE s9 x"):
+            lines, ready = caller.ask(text)
+            self.assertTrue(lines[0].startswith("ERROR "), lines)
+            self.assertEqual(ready, "READY I -")
+        self.assertEqual(caller.read("x"), "-")
+
+    def test_oversized_message_ends_its_session_only(self):
+        caller, other = self.caller("current"), self.caller("current")
+        caller.send("QUERY 1 WRITE x " + "y" * 1100000)
+        self.assertTrue(caller.line().startswith("ERROR TOOLARGE"))
+        self.assertEqual(other.read("x"), "-")
+
+    def test_answer_lost_of_a_read_is_asked_for_again(self):
+        caller = self.caller("current")
+        caller.write("x", "1")
+        self.fleet.instances["i-1"].lose_answers = 1
+        self.assertEqual(caller.read("x"), "1")
+
+    def test_answer_lost_of_a_write_is_told_as_unknown_and_runs_once(self):
+        caller = self.caller("current")
+        self.fleet.instances["i-1"].lose_answers = 1
+        lines, _ = caller.ask("WRITE x 1", "w1")
+        self.assertTrue(lines[-1].startswith(("ERROR TIMEOUT",
+                                              "ERROR INDOUBT")))
+        runs = [r for r in self.fleet.instances["i-1"].runs if r[0] == "w1"]
+        self.assertEqual(len(runs), 1)
+
+    def test_paused_transaction_is_ended_and_its_connection_freed(self):
+        caller = self.caller("current")
+        caller.ask("BEGIN")
+        caller.ask("WRITE x 1")
+        time.sleep(4)
+        lines, ready = caller.ask("WRITE x 2")
+        self.assertTrue(lines[0].startswith("ERROR "))
+        self.assertEqual(ready, "READY E -")
+        self.assertTrue(caller.ask("COMMIT")[0][0].startswith("ERROR ABORTED"))
+        self.assertEqual(caller.read("x"), "-")
+
+
+class DesiredStateTest(FleetCase):
+    def test_new_version_is_in_force_soon_and_an_older_one_never(self):
+        self.fleet.declare(5, {**ROUTES, "added": "primary"})
+
+        def opens():
+            caller = Caller(self.proxies[0], "added")
+            caller.close()
+            return caller.opening.startswith("READY")
+        self.assertLess(wait_until(opens), 1)
+        self.fleet.declare(4, ROUTES)
+        time.sleep(0.5)
+        self.assertTrue(opens())
+
+    def test_state_that_can_not_be_read_leaves_the_one_in_force(self):
+        self.fleet.run(self.fleet.store.write("op/config", b"{broken"))
+        self.fleet.run(self.fleet.store.write("servers/i-x", b"\x00\x01"))
+        time.sleep(0.3)
+        self.assertEqual(self.caller("current").read("x"), "-")
+
+    def test_opening_after_a_restart_waits_for_the_store(self):
+        proxy = self.proxies[0]
+        self.fleet.store.mode = "busy"
+        proxy.process.kill()
+        proxy.process.wait()
+        proxy.start()
+        time.sleep(0.3)
+        threading.Timer(0.6, setattr,
+                        (self.fleet.store, "mode", "up")).start()
+        self.assertEqual(Caller(proxy, "current").opening, "READY I -")
+
+
+class LeaderTest(FleetCase):
+    def write_until_done(self, caller_of, item, value, seconds=8):
+        """Files a write again and again; returns the time it took."""
+        def done():
+            try:
+                caller = caller_of()
+                ok = caller.write(item, value)
+                caller.close()
+                return ok
+            except OSError:
+                return False
+        return wait_until(done, seconds)
+
+    def replace(self, lose):
+        caller = self.caller("current")
+        for number in range(20):
+            self.assertTrue(caller.write(f"k{number}", number))
+        time.sleep(3)  # the directory must be known to be whole
+        lose(self.fleet.instances["i-1"])
+        gap = self.write_until_done(
+            lambda: Caller(self.proxies[1], "current"), "after", "1")
+        reader = self.caller("current", 1)
+        for number in range(20):
+            self.assertEqual(reader.read(f"k{number}"), str(number))
+        self.assertNotEqual(self.fleet.leader().ident, "i-1")
+        return gap
+
+    def test_crashed_leader_is_replaced_and_loses_nothing(self):
+        gap = self.replace(lambda i: self.fleet.run(i.crash()))
+        self.assertLess(gap, 4)
+
+    def test_dark_leader_is_replaced_and_loses_nothing(self):
+        def darken(instance):
+            instance.mode = "dark"
+            instance.server.close()
+        self.assertLess(self.replace(darken), 5)
+
+    def test_leader_cut_from_its_group_is_replaced_and_loses_nothing(self):
+        def cut(instance):
+            instance.cut_from_group = True
+        self.assertLess(self.replace(cut), 6)
+
+    def test_leaving_leader_hands_over(self):
+        def drain(instance):
+            instance.draining = True
+            self.fleet.run(instance.register())
+            wait_until(lambda: not instance.leads)
+        self.assertLess(self.replace(drain), 3)
+
+    def test_promotion_without_an_answer_is_ordered_anew_for_the_same(self):
+        self.fleet.lose_promotions = 1
+        self.replace(lambda i: self.fleet.run(i.crash()))
+        chosen = {ident for _, _, ident in self.fleet.promotions}
+        tokens = [token for _, token, _ in self.fleet.promotions]
+        self.assertEqual(len(chosen), 1)
+        self.assertEqual(tokens, sorted(set(tokens)))
+
+    def test_slow_leader_is_not_replaced(self):
+        time.sleep(3)
+        caller = self.caller("current")
+        self.fleet.instances["i-1"].commit_delay_s = 0.45
+        for number in range(5):
+            self.assertTrue(caller.write("x", number))
+        self.assertEqual(self.fleet.promotions, [])
+
+    def test_current_reads_go_on_while_the_store_is_out(self):
+        caller = self.caller("current")
+        self.assertTrue(caller.write("x", "1"))
+        for mode in ("busy", "silent"):
+            self.fleet.store.mode = mode
+            time.sleep(1)
+            for _ in range(5):
+                self.assertEqual(caller.read("x"), "1")
+
+    def test_current_read_of_a_cut_off_leader_is_never_stale(self):
+        """A caller of a proxy that knows only the former leader."""
+        time.sleep(3)
+        stale = []
+        stop = threading.Event()
+        newest = {"value": -1}
+
+        def read():
+            while not stop.is_set():
+                caller = Caller(self.proxies[0], "current")
+                before = newest["value"]
+                value = caller.read("x")
+                if isinstance(value, str) and value != "-" and \
+                        int(value) < before:
+                    stale.append((before, value))
+                caller.close()
+        reader = threading.Thread(target=read)
+        reader.start()
+        writer = self.caller("current", 1)
+        for number in range(60):
+            if number == 20:
+                self.fleet.instances["i-1"].cut_from_group = True
+            if writer.write("x", number):
+                newest["value"] = number
+            time.sleep(0.05)
+        stop.set()
+        reader.join()
+        self.assertEqual(stale, [])
+        self.assertGreater(newest["value"], 20)
+
+
+class DrainTest(FleetCase):
+    def test_sigterm_under_load_cuts_no_statement(self):
+        stop = threading.Event()
+        cut, served = [], []
+
+        def load():
+            while not stop.is_set():
+                try:
+                    caller = Caller(self.proxies[0], "own", timeout=3)
+                except OSError:
+                    return
+                if not caller.opening.startswith("READY"):
+                    caller.close()
+                    continue
+                while not stop.is_set():
+                    try:
+                        lines, ready = caller.ask("WRITE x 1")
+                    except OSError:
+                        ready = ""
+                    if not ready:
+                        # Cut only if it had begun to run.
+                        cut.append(caller.number)
+                        break
+                    served.append(1)
+                    time.sleep(0.02)
+                caller.close()
+        threads = [threading.Thread(target=load) for _ in range(6)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.5)
+        self.proxies[0].process.send_signal(signal.SIGTERM)
+        wait_until(lambda: not self.proxies[0].is_ready(), 1)
+        code = self.proxies[0].process.wait(8)
+        stop.set()
+        for thread in threads:
+            thread.join()
+        runs = [r for i in self.fleet.instances.values() for r in i.runs]
+        self.assertEqual(code, 0)
+        self.assertGreater(len(served), 100)
+        # Each statement that reached an instance was answered.
+        self.assertEqual(len(runs), len(served))
+
+
+class ProgramTest(FleetCase):
+    PROXIES = ()
+
+    def test_settings_with_an_unknown_key_are_refused_with_the_line(self):
+        import pathlib
+        import subprocess
+        from fleet_case import DAEMON
+        file = pathlib.Path(self.folder.name) / "bad.yaml"
+        file.write_text("name: a\nzone: b\ncolour: red\n")
+        done = subprocess.run([DAEMON, "--check", "--settings", file],
+                              capture_output=True, text=True, check=False)
+        self.assertEqual(done.returncode, 3)
+        self.assertIn("bad.yaml:3:1", done.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/Tests/Sessions/clStoreKeysTest.cxx
@@ -0,0 +1,25 @@
+#include "clStoreKeys.h"
+
+#include <doctest/doctest.h>
+
+using namespace catkinloom;
+
+TEST_CASE("failover_record_written_and_read_is_equal")
+{
+  failover_record record;
+  record.mPhase = failover_phase::Contested;
+  record.mCommitsStopped = true;
+  record.mLeader = "i-1";
+  record.mFloor = { 3, 1207 };
+  record.mHolder = "proxy-1";
+  record.mPossibleLeaders = { "i-2", "i-3" };
+  const auto read = DecodeFailoverRecord(EncodeFailoverRecord(record));
+  REQUIRE(read);
+  CHECK(read.value() == record);
+}
+
+TEST_CASE("failover_record_that_can_not_be_read_is_an_error")
+{
+  CHECK_FALSE(DecodeFailoverRecord("{}"));
+  CHECK_FALSE(DecodeFailoverRecord(""));
+}
