leadership: take a renewed lease for evidence; log to standard output, never blocking

Ruled out: a longer life of evidence, which lengthens each failover. Change: each proxy holds a permit, a lease named by a key without a lease; a promoter ends all permits before anyone leads, so that a renewal, at a tenth of the price, proves that nobody was promoted. One watch a prefix, ten seconds long, with keep-alive probes against silence.

log: lines go to standard output, as the users ask; a reader that stops costs lines, which are counted, and no time.

--- a/Source/Decisions/clLeadership.cxx
+++ b/Source/Decisions/clLeadership.cxx
@@ -106,6 +106,23 @@
   }
 }
 
+void
+group_leadership::OnReadUnderPermit()
+{
+  const bool isSettled = mRecord.mPhase == failover_phase::Settled;
+  const bool isSame = mRecord.mLeader.empty() || mRecord.mLeader == mLeader;
+  mPermittedLeader = isSettled && isSame ? mLeader : std::string();
+}
+
+void
+group_leadership::OnPermitRenewed(time_point aSentAt)
+{
+  if (IsPermitted()) {
+    mRecordAskedAt = std::max(mRecordAskedAt, aSentAt);
+    Extend(aSentAt);
+  }
+}
+
 void
 group_leadership::OnGroupEvidence(const std::string& aLeader,
                                   time_point aSentAt)
--- a/Source/Decisions/clLeadership.h
+++ b/Source/Decisions/clLeadership.h
@@ -101,6 +101,22 @@
   /// The instance was found to lead by asking its group at aSentAt.
   void OnGroupLeader(const std::string& aLeader, time_point aSentAt);
 
+  /// The records were just read under this proxy's permit: from now on its
+  /// renewal is evidence, unless a replacement is under way.
+  void OnReadUnderPermit();
+
+  /// The permit was renewed by a call sent at aSentAt.
+  void OnPermitRenewed(time_point aSentAt);
+
+  /// The permit was ended: somebody may be promoted.
+  void OnPermitEnded() { mPermittedLeader.clear(); }
+
+  /// A renewal of the permit would be evidence.
+  bool IsPermitted() const
+  {
+    return !mLeader.empty() && mPermittedLeader == mLeader;
+  }
+
   /// The leader acknowledged a commit that was sent at aSentAt.
   void OnGroupEvidence(const std::string& aLeader, time_point aSentAt);
 
@@ -145,6 +161,8 @@
   failover_record mRecord;
   std::string mLeader;
   time_point mProvenUntil;
+  /// Leader that the records named when they were read under the permit.
+  std::string mPermittedLeader;
   /// When the store was last asked for the record that is known.
   time_point mRecordAskedAt;
   std::deque<observation> mObservations;
--- a/Source/Runtime/clHttpClient.cxx
+++ b/Source/Runtime/clHttpClient.cxx
@@ -5,6 +5,7 @@
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace catkinloom {
@@ -12,6 +13,28 @@
 namespace beast = boost::beast;
 using tcp = boost::asio::ip::tcp;
 
+namespace {
+
+/// Seconds without traffic after which the other side is probed, and between
+/// two probes; after kProbes without an answer the connection is broken.  A
+/// connection that has gone silent is noticed so within three seconds.
+constexpr int kProbeAfterS = 1;
+constexpr int kProbes = 2;
+
+void
+SetKeepAlive(int aSocket)
+{
+  constexpr int on = 1;
+  ::setsockopt(aSocket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  ::setsockopt(
+    aSocket, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeAfterS, sizeof(kProbeAfterS));
+  ::setsockopt(
+    aSocket, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeAfterS, sizeof(kProbeAfterS));
+  ::setsockopt(aSocket, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
+}
+
+} // namespace
+
 http_connection_out::http_connection_out(event_loop& aLoop)
   : mLoop(aLoop)
   , mStream(aLoop.Context())
@@ -38,6 +61,7 @@
   mOpen = true;
   beast::error_code ignored;
   mStream.socket().set_option(tcp::no_delay(true), ignored);
+  SetKeepAlive(mStream.socket().native_handle());
   return boost::outcome_v2::success();
 }
 
--- a/Source/Runtime/clLog.cxx
+++ b/Source/Runtime/clLog.cxx
@@ -1,16 +1,23 @@
 #include "clLog.h"
 
+#include <algorithm>
 #include <array>
-#include <cstdio>
+#include <climits>
 #include <ctime>
+#include <poll.h>
+#include <unistd.h>
 
 namespace catkinloom {
 
 namespace {
 
-/// Pending bytes after which a line is written at once.
+/// Pending bytes after which lines are written at once.
 constexpr std::size_t kFlushBytes = 16384;
 
+/// Pending bytes over which lines are dropped while the reader does not take
+/// them.
+constexpr std::size_t kMaxPendingBytes = 262144;
+
 constexpr std::array<std::string_view, 5> kLevelNames{ "debug",
                                                        "decision",
                                                        "info",
@@ -63,6 +70,10 @@
                   std::string_view aPart,
                   std::string_view aText)
 {
+  if (mPending.size() > kMaxPendingBytes) {
+    ++mDropped;
+    return;
+  }
   fmt::format_to(std::back_inserter(mPending),
                  "{} {} {}: {}\n",
                  WallClockText(),
@@ -80,9 +91,29 @@
   if (mPending.empty()) {
     return;
   }
-  fmt::print(stderr, "{}", mPending);
-  std::fflush(stderr);
-  mPending.clear();
+  // Only a pipe or terminal that takes bytes at once is written to, so that a
+  // reader that has stopped never stops the process.
+  pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+  if (::poll(&output, 1, 0) < 1 || (output.revents & POLLOUT) == 0) {
+    return;
+  }
+  // A writable pipe takes at least this much without blocking.
+  const std::size_t chunk = std::min<std::size_t>(mPending.size(), PIPE_BUF);
+  const auto written = ::write(STDOUT_FILENO, mPending.data(), chunk);
+  if (written <= 0) {
+    return;
+  }
+  mPending.erase(0, static_cast<std::size_t>(written));
+  if (mDropped > 0 && mPending.size() < kFlushBytes) {
+    const std::uint64_t dropped = mDropped;
+    mDropped = 0;
+    Write(log_level::Info,
+          "log",
+          fmt::format("Lines dropped, the reader was slow. lines={}", dropped));
+  }
+  if (!mPending.empty()) {
+    Flush();
+  }
 }
 
 } // namespace catkinloom
--- a/Source/Runtime/clLog.h
+++ b/Source/Runtime/clLog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <fmt/format.h>
 #include <string>
 #include <string_view>
@@ -17,9 +18,10 @@
   Error,
 };
 
-/// Writes log lines to standard error: the part's fixed prefix, one short
+/// Writes log lines to standard output: the part's fixed prefix, one short
 /// sentence, then key=value pairs.  Lines are gathered and written by Flush,
-/// so that a busy daemon does not make one system call per line.
+/// so that a busy daemon does not make one system call per line.  It never
+/// blocks: lines that a slow reader does not take are dropped and counted.
 class log_writer
 {
 public:
@@ -37,6 +39,7 @@
 private:
   log_level mLevel = log_level::Info;
   std::string mPending;
+  std::uint64_t mDropped = 0;
 };
 
 /// Formats and writes one line, unless its level is switched off.
--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -1,5 +1,6 @@
 #include "clFailoverRunner.h"
 
+#include "clLeadershipPermit.h"
 #include "clLog.h"
 #include "clStoreKeys.h"
 
@@ -271,8 +272,9 @@
                          failover_reason aReason,
                          const failover_record& aRecord)
 {
-  attempt now{ aGroup, aReason, aGroup.Leadership().Leader(), aRecord, {}, 0,
-               {},     {} };
+  attempt now{ aGroup,  aReason, aGroup.Leadership().Leader(),
+               aRecord, {},      0,
+               {},      {},      {} };
   now.mGiveUpAt = mContext.Now() + kAttemptLimit;
   now.mRecord.mPhase = failover_phase::Contested;
   now.mRecord.mCommitsStopped = false;
@@ -295,6 +297,9 @@
     // A leader that still answers must not go on with instances that this
     // proxy does not know yet.
     StepPrimaryDown(now);
+    if (!EndPermits(now)) {
+      return false;
+    }
     const auto chosen = ChooseFor(now);
     if (!chosen) {
       return false;
@@ -306,7 +311,8 @@
       nanoseconds(mContext.mSettings.mLeadership.mEvidenceLifetime) *
         kWaitPercent / 100 -
       nanoseconds(kLeastPromotionTime);
-    const nanoseconds left = now.mStoppedAt + wait - mContext.Now();
+    const time_point since = std::max(now.mStoppedAt, *now.mPermitsEndedAt);
+    const nanoseconds left = since + wait - mContext.Now();
     if (left > nanoseconds(0)) {
       mContext.mLoop.Sleep(left);
     }
@@ -365,6 +371,25 @@
   return false;
 }
 
+bool
+failover_runner::EndPermits(attempt& aAttempt)
+{
+  while (!aAttempt.mPermitsEndedAt && mContext.Now() < aAttempt.mGiveUpAt) {
+    const auto ended = EndEveryPermit(mContext);
+    if (ended) {
+      aAttempt.mPermitsEndedAt = mContext.Now();
+      return true;
+    }
+    Log(log_level::Info,
+        "failover",
+        "Permits not ended yet. service={} cause={}",
+        aAttempt.mGroup.Service(),
+        ended.error().mDetail);
+    mContext.mLoop.Sleep(kStepPause);
+  }
+  return aAttempt.mPermitsEndedAt.has_value();
+}
+
 void
 failover_runner::StopOnce(attempt& aAttempt)
 {
--- a/Source/Sessions/clFailoverRunner.h
+++ b/Source/Sessions/clFailoverRunner.h
@@ -55,6 +55,8 @@
     /// Rounds of orders so far.
     std::uint32_t mRounds = 0;
     time_point mStoppedAt;
+    /// When the last proxy's permit was ended; empty until then.
+    std::optional<time_point> mPermitsEndedAt;
     time_point mGiveUpAt;
   };
 
@@ -87,6 +89,7 @@
   /// stopped.
   bool IsStopped(const attempt& aAttempt) const;
   std::optional<std::string> ChooseFor(const attempt& aAttempt) const;
+  bool EndPermits(attempt& aAttempt);
   void StopOnce(attempt& aAttempt);
   void StepPrimaryDown(attempt& aAttempt);
   /// An instance is in the directory that was not stopped.
--- /dev/null
+++ b/Source/Sessions/clLeadershipPermit.cxx
@@ -0,0 +1,110 @@
+#include "clLeadershipPermit.h"
+
+#include "clLog.h"
+#include "clStoreKeys.h"
+
+#include <charconv>
+
+namespace catkinloom {
+
+namespace {
+
+/// The lease that a permit's value names; 0 when it names none.
+store_lease
+LeaseOf(const store_item& aPermit)
+{
+  store_lease lease = 0;
+  const char* begin = aPermit.mValue.data();
+  std::from_chars(begin, begin + aPermit.mValue.size(), lease);
+  return lease;
+}
+
+} // namespace
+
+leadership_permit::leadership_permit(session_context& aContext,
+                                     reach_handler aOnReach)
+  : mContext(aContext)
+  , mOnReach(std::move(aOnReach))
+{
+}
+
+bool
+leadership_permit::Obtain()
+{
+  const session_settings& settings = mContext.mSettings;
+  coordination_store& store = mContext.mPorts.mStore;
+  mLease = 0;
+  const auto lease = store.OpenLease(settings.mPermitLifetime);
+  mOnReach(bool(lease), lease ? "" : lease.error().mDetail);
+  if (!lease) {
+    return false;
+  }
+  const std::string key = std::string(store_keys::kPermits) + mContext.Name();
+  const auto listing = store.List(key, settings.mStoreTimeout);
+  mOnReach(bool(listing), listing ? "" : listing.error().mDetail);
+  if (!listing) {
+    return false;
+  }
+  store_revision revision = 0;
+  for (const store_item& item : listing.value().mItems) {
+    revision = item.mKey == key ? item.mRevision : revision;
+  }
+  const auto written = store.Put(
+    key, std::to_string(lease.value()), revision, 0, settings.mStoreTimeout);
+  mOnReach(bool(written), written ? "" : written.error().mDetail);
+  if (!written || written.value().mEnd != store_write_end::Written) {
+    return false;
+  }
+  mLease = lease.value();
+  Log(log_level::Info, "permit", "Permit obtained. lease={}", mLease);
+  return true;
+}
+
+bool
+leadership_permit::Renew()
+{
+  const auto kept = mContext.mPorts.mStore.KeepLease(mLease);
+  mOnReach(bool(kept), kept ? "" : kept.error().mDetail);
+  if (!kept) {
+    return false;
+  }
+  if (!kept.value()) {
+    Log(log_level::Info, "permit", "Permit ended. lease={}", mLease);
+    mLease = 0;
+    return false;
+  }
+  return true;
+}
+
+result<void>
+EndEveryPermit(session_context& aContext)
+{
+  coordination_store& store = aContext.mPorts.mStore;
+  BOOST_OUTCOME_TRY(const store_listing permits,
+                    store.List(std::string(store_keys::kPermits),
+                               aContext.mSettings.mStoreTimeout));
+  std::size_t open = permits.mItems.size();
+  std::size_t failed = 0;
+  fiber_wait ended;
+  for (const store_item& permit : permits.mItems) {
+    const store_lease lease = LeaseOf(permit);
+    aContext.mLoop.Spawn([&, lease] {
+      const auto done = store.EndLease(lease);
+      failed += done ? 0 : 1;
+      --open;
+      if (open == 0) {
+        ended.Notify();
+      }
+    });
+  }
+  if (open > 0) {
+    ended.Wait();
+  }
+  if (failed > 0) {
+    return error{ error_kind::PlatformUnavailable,
+                  std::to_string(failed) + " permits may still stand" };
+  }
+  return boost::outcome_v2::success();
+}
+
+} // namespace catkinloom
--- a/Source/Sessions/clSessionDaemon.cxx
+++ b/Source/Sessions/clSessionDaemon.cxx
@@ -63,7 +63,7 @@
       return MakeResponse(200, mContext.mMetrics.Text());
     }));
   BOOST_OUTCOME_TRY(ListenForCallers());
-  mContext.mLoop.Spawn([this] { mKeeper.Run(); });
+  mKeeper.Start();
   mContext.mLoop.Spawn([this] { mKeeper.RunRegistration(); });
   mContext.mLoop.Spawn([this] { mFailover.Run(); });
   mContext.mLoop.Spawn([this] { RunHousekeeping(); });
--- a/Source/Sessions/clSessionSettings.h
+++ b/Source/Sessions/clSessionSettings.h
@@ -42,17 +42,24 @@
   milliseconds mLeaderWait{ 1000 };
   /// Time for the store to answer a call.
   milliseconds mStoreTimeout{ 400 };
-  /// Longest wait of a watch, so that a silent connection is noticed soon.
-  milliseconds mWatchWait{ 1500 };
+  /// Longest wait of a watch.  A connection that has gone silent is noticed by
+  /// its keep-alive probes.
+  milliseconds mWatchWait{ 10000 };
+  /// Pause of a watch after changes, so that those of a moment in which much
+  /// changes come together.  Source: each answer is a call that is paid for.
+  milliseconds mWatchPause{ 100 };
   /// Pause between two complete readings of the store.  A watch goes on where
   /// the last one ended and says when it can't, so that this finds only what
   /// should not happen.
-  milliseconds mListInterval{ 20000 };
+  milliseconds mListInterval{ 60000 };
   /// Pause after a failed call to the store.
   milliseconds mStoreRetryPause{ 150 };
   /// Life of this proxy's registration without renewal.
   milliseconds mRegistrationLifetime{ 6000 };
   milliseconds mRegistrationRenewal{ 2000 };
+  /// Life of a permit's lease without renewal.  Source: it is renewed with
+  /// each evidence, and a quiet proxy can obtain another.
+  milliseconds mPermitLifetime{ 10000 };
   /// Age of an instance's missing entry after which it counts as gone.
   /// Source: entries are back within two seconds of the store's return.
   milliseconds mEntryGrace{ 2500 };
--- a/Source/Sessions/clStateKeeper.cxx
+++ b/Source/Sessions/clStateKeeper.cxx
@@ -29,9 +29,86 @@
 
 state_keeper::state_keeper(session_context& aContext)
   : mContext(aContext)
+  , mPermit(aContext,
+            [this](bool aIsReached, std::string_view aCause) {
+              NoteStore(aIsReached, aCause);
+            })
+  , mOperator(
+      aContext,
+      std::string(aContext.mPorts.mDirectory.OperatorPrefix()),
+      [this](const store_listing& aListing) {
+        for (const store_item& item : aListing.mItems) {
+          ApplyOperatorItem(item);
+        }
+      },
+      [this](const std::vector<store_event>& aEvents) {
+        for (const store_event& event : aEvents) {
+          if (!event.mDeleted) {
+            ApplyOperatorItem(event.mItem);
+          }
+        }
+      },
+      [this](bool aIsReached, std::string_view aCause) {
+        NoteStore(aIsReached, aCause);
+      })
+  , mDirectory(
+      aContext,
+      std::string(aContext.mPorts.mDirectory.InstancePrefix()),
+      [this](const store_listing& aListing) {
+        mInstances.clear();
+        for (const store_item& item : aListing.mItems) {
+          ApplyInstance(item, false);
+        }
+        PushInstances();
+      },
+      [this](const std::vector<store_event>& aEvents) {
+        for (const store_event& event : aEvents) {
+          ApplyInstance(event.mItem, event.mDeleted);
+        }
+        PushInstances();
+      },
+      [this](bool aIsReached, std::string_view aCause) {
+        NoteStore(aIsReached, aCause);
+      })
+  , mOwn(
+      aContext,
+      std::string(store_keys::kOwn),
+      [this](const store_listing& aListing) {
+        for (auto& [name, proxy] : mProxies) {
+          proxy.mIsRegistered = false;
+        }
+        for (const store_item& item : aListing.mItems) {
+          ApplyOwnItem(item, false);
+        }
+        ApplyProxies();
+      },
+      [this](const std::vector<store_event>& aEvents) {
+        for (const store_event& event : aEvents) {
+          ApplyOwnItem(event.mItem, event.mDeleted);
+        }
+        ApplyProxies();
+      },
+      [this](bool aIsReached, std::string_view aCause) {
+        NoteStore(aIsReached, aCause);
+      })
 {
 }
 
+void
+state_keeper::Start()
+{
+  mContext.mLoop.Spawn([this] { mOperator.Run(); });
+  mContext.mLoop.Spawn([this] { mDirectory.Run(); });
+  mContext.mLoop.Spawn([this] { mOwn.Run(); });
+}
+
+bool
+state_keeper::IsComplete() const
+{
+  return mContext.mDesired != nullptr && mDirectory.HasListed() &&
+         mOwn.HasListed();
+}
+
 void
 state_keeper::NoteStore(bool aIsReached, std::string_view aCause)
 {
@@ -52,117 +129,23 @@
       aCause);
 }
 
-result<store_listing>
-state_keeper::List(std::string_view aPrefix)
-{
-  auto listing = mContext.mPorts.mStore.List(std::string(aPrefix),
-                                             mContext.mSettings.mStoreTimeout);
-  NoteStore(bool(listing), listing ? "" : listing.error().mDetail);
-  return listing;
-}
-
 void
-state_keeper::Run()
-{
-  while (true) {
-    if (!ListAll()) {
-      mContext.mLoop.Sleep(mContext.mSettings.mStoreRetryPause);
-      continue;
-    }
-    WatchUntilListIsDue();
-  }
-}
-
-bool
-state_keeper::ListAll()
+state_keeper::ApplyOwnItem(const store_item& aItem, bool aDeleted)
 {
-  const directory_codec& codec = mContext.mPorts.mDirectory;
-  const auto desired = List(codec.OperatorPrefix());
-  if (!desired) {
-    return false;
-  }
-  for (const store_item& item : desired.value().mItems) {
-    ApplyItem(item, false);
-  }
-  const auto instances = List(codec.InstancePrefix());
-  if (!instances) {
-    return false;
-  }
-  const time_point sentAt = mContext.Now();
-  const auto own = List(store_keys::kOwn);
-  if (!own) {
-    return false;
-  }
-  for (auto& [name, proxy] : mProxies) {
-    proxy.mIsRegistered = false;
-  }
-  for (const store_item& item : own.value().mItems) {
-    ApplyItem(item, false);
-  }
-  ApplyListedInstances(instances.value());
-  ApplyProxies();
-  // The earliest of the three readings is where the watch goes on.
-  mWatchFrom = std::min(
-    { desired.value().mAsOf, instances.value().mAsOf, own.value().mAsOf });
-  mListedAt = sentAt;
-  mListed = true;
-  return true;
-}
-
-void
-state_keeper::WatchUntilListIsDue()
-{
-  const session_settings& settings = mContext.mSettings;
-  while (true) {
-    const nanoseconds left =
-      mListedAt + settings.mListInterval - mContext.Now();
-    const auto wait = std::min<nanoseconds>(left, settings.mWatchWait);
-    if (wait <= nanoseconds(0)) {
-      return;
-    }
-    const auto changes = mContext.mPorts.mStore.Watch(
-      "",
-      mWatchFrom,
-      std::max(std::chrono::duration_cast<milliseconds>(wait),
-               milliseconds(1)));
-    NoteStore(bool(changes), changes ? "" : changes.error().mDetail);
-    if (!changes) {
-      mContext.mLoop.Sleep(settings.mStoreRetryPause);
-      return;
-    }
-    if (changes.value().mHistoryLost) {
-      return;
-    }
-    for (const store_event& event : changes.value().mEvents) {
-      ApplyItem(event.mItem, event.mDeleted);
-    }
-    mWatchFrom = std::max(mWatchFrom, changes.value().mAsOf);
-    if (!changes.value().mEvents.empty()) {
-      PushInstances();
-    }
-  }
-}
-
-void
-state_keeper::ApplyItem(const store_item& aItem, bool aDeleted)
-{
-  const directory_codec& codec = mContext.mPorts.mDirectory;
-  if (aItem.mKey == codec.DesiredStateKey() && !aDeleted) {
-    ApplyDesiredState(aItem);
-  } else if (IsUnder(aItem.mKey, codec.InstancePrefix())) {
-    ApplyInstance(RestOf(aItem.mKey, codec.InstancePrefix()), aItem, aDeleted);
-  } else if (IsUnder(aItem.mKey, store_keys::kFailover) && !aDeleted) {
+  if (IsUnder(aItem.mKey, store_keys::kFailover) && !aDeleted) {
     ApplyRecord(RestOf(aItem.mKey, store_keys::kFailover), aItem);
   } else if (IsUnder(aItem.mKey, store_keys::kProxies)) {
     mProxies[RestOf(aItem.mKey, store_keys::kProxies)] = { !aDeleted,
                                                            mContext.Now() };
-    ApplyProxies();
   }
 }
 
 void
-state_keeper::ApplyDesiredState(const store_item& aItem)
+state_keeper::ApplyOperatorItem(const store_item& aItem)
 {
+  if (aItem.mKey != mContext.mPorts.mDirectory.DesiredStateKey()) {
+    return;
+  }
   auto offered = mContext.mPorts.mDirectory.DecodeDesiredState(aItem.mValue);
   if (!offered) {
     Log(log_level::Warning,
@@ -189,40 +172,31 @@
       next->mServices.size());
   mContext.mMetrics.mDesiredVersion.Set(static_cast<double>(next->mVersion));
   mContext.mDesired = std::move(next);
+  // Instances of its services may have been listed before it.
+  PushInstances();
   mContext.mDesiredKnown.Raise();
 }
 
 void
-state_keeper::ApplyInstance(const std::string& aId,
-                            const store_item& aItem,
-                            bool aDeleted)
+state_keeper::ApplyInstance(const store_item& aItem, bool aDeleted)
 {
+  const directory_codec& codec = mContext.mPorts.mDirectory;
+  const std::string id = RestOf(aItem.mKey, codec.InstancePrefix());
   if (aDeleted) {
-    mInstances.erase(aId);
+    mInstances.erase(id);
     return;
   }
-  const auto entry =
-    mContext.mPorts.mDirectory.DecodeInstance(aId, aItem.mValue);
+  const auto entry = codec.DecodeInstance(id, aItem.mValue);
   if (!entry) {
     Log(log_level::Info,
         "directory",
         "Entry names no instance to use. key={} cause={}",
         aItem.mKey,
         entry.error().mDetail);
-    mInstances.erase(aId);
+    mInstances.erase(id);
     return;
   }
-  mInstances[aId] = entry.value();
-}
-
-void
-state_keeper::ApplyListedInstances(const store_listing& aListing)
-{
-  mInstances.clear();
-  for (const store_item& item : aListing.mItems) {
-    ApplyItem(item, false);
-  }
-  PushInstances();
+  mInstances[id] = entry.value();
 }
 
 void
@@ -316,84 +290,150 @@
   mContext.mLoop.Spawn([this] {
     TakeLeadership();
     mRefreshing = false;
+    for (const auto& [service, group] : mContext.mGroups) {
+      group->Changed().Raise();
+    }
   });
 }
 
 void
 state_keeper::TakeLeadership()
+{
+  const bool held = mPermit.IsHeld();
+  if (held && RenewUnderPermit()) {
+    return;
+  }
+  // A first answer is wanted now; the permit comes after it.
+  if (!ReadRecords(held && mPermit.IsHeld())) {
+    return;
+  }
+  if (!mPermit.IsHeld() && mPermit.Obtain()) {
+    ReadRecords(true);
+  }
+}
+
+bool
+state_keeper::RenewUnderPermit()
+{
+  bool permitted = true;
+  for (const auto& [service, group] : mContext.mGroups) {
+    permitted = permitted && group->Leadership().IsPermitted();
+  }
+  const time_point sentAt = mContext.Now();
+  if (!permitted) {
+    return false;
+  }
+  if (!mPermit.Renew()) {
+    if (!mPermit.IsHeld()) {
+      for (const auto& [service, group] : mContext.mGroups) {
+        group->Leadership().OnPermitEnded();
+      }
+    }
+    return false;
+  }
+  for (const auto& [service, group] : mContext.mGroups) {
+    group->Leadership().OnPermitRenewed(sentAt);
+  }
+  return true;
+}
+
+bool
+state_keeper::ReadRecords(bool aUnderPermit)
 {
   const time_point sentAt = mContext.Now();
-  const auto listing = List(store_keys::kFailover);
+  const auto listing = mContext.mPorts.mStore.List(
+    std::string(store_keys::kFailover), mContext.mSettings.mStoreTimeout);
+  NoteStore(bool(listing), listing ? "" : listing.error().mDetail);
   if (!listing) {
-    return;
+    return false;
   }
   std::set<std::string> recorded;
   for (const store_item& item : listing.value().mItems) {
     const std::string service = RestOf(item.mKey, store_keys::kFailover);
     recorded.insert(service);
     ApplyRecord(service, item);
-    auto record = DecodeFailoverRecord(item.mValue);
-    if (record) {
-      record.value().mRevision = item.mRevision;
-      mContext.Group(service).Leadership().OnRecord(record.value(), sentAt);
+    group_leadership& leadership = mContext.Group(service).Leadership();
+    if (leadership.Record().mRevision == item.mRevision) {
+      leadership.OnRecord(failover_record(leadership.Record()), sentAt);
     }
   }
   for (const auto& [service, group] : mContext.mGroups) {
     if (recorded.count(service) == 0) {
       group->Leadership().OnRecord({}, sentAt);
     }
-    group->Changed().Raise();
+    if (aUnderPermit) {
+      group->Leadership().OnReadUnderPermit();
+    }
   }
+  return true;
+}
+
+bool
+state_keeper::IsRegistered() const
+{
+  const auto own = mProxies.find(mContext.Name());
+  return own != mProxies.end() && own->second.mIsRegistered;
 }
 
 void
 state_keeper::RunRegistration()
 {
   const session_settings& settings = mContext.mSettings;
-  coordination_store& store = mContext.mPorts.mStore;
-  const std::string key = std::string(store_keys::kProxies) + mContext.Name();
   while (!mContext.mDraining) {
+    bool kept = false;
     if (mLease != 0) {
-      const auto kept = store.KeepLease(mLease);
-      NoteStore(bool(kept), kept ? "" : kept.error().mDetail);
-      const auto own = mProxies.find(mContext.Name());
-      const bool registered =
-        own != mProxies.end() && own->second.mIsRegistered;
-      if (kept && kept.value() && registered) {
-        mContext.mLoop.Sleep(settings.mRegistrationRenewal);
-        continue;
-      }
-      if (kept && !kept.value()) {
+      const auto renewed = mContext.mPorts.mStore.KeepLease(mLease);
+      NoteStore(bool(renewed), renewed ? "" : renewed.error().mDetail);
+      kept = renewed && renewed.value();
+      if (renewed && !renewed.value()) {
         mLease = 0;
       }
     }
-    if (mLease == 0) {
-      const auto lease = store.OpenLease(settings.mRegistrationLifetime);
-      NoteStore(bool(lease), lease ? "" : lease.error().mDetail);
-      mLease = lease ? lease.value() : 0;
-    }
-    if (mLease != 0) {
-      const auto listing = List(key);
-      const bool exists = listing && !listing.value().mItems.empty();
-      const store_revision revision =
-        exists ? listing.value().mItems.front().mRevision : 0;
-      const auto written =
-        store.Put(key, "{}", revision, mLease, settings.mStoreTimeout);
-      const bool done =
-        written && written.value().mEnd == store_write_end::Written;
-      Log(log_level::Info,
-          "proxies",
-          "Registration written. done={} lease={}",
-          done,
-          mLease);
-      if (done) {
-        mProxies[mContext.Name()] = { true, mContext.Now() };
-        mContext.mLoop.Sleep(settings.mRegistrationRenewal);
-        continue;
-      }
+    const bool done = (kept && IsRegistered()) || Register();
+    mContext.mLoop.Sleep(done ? settings.mRegistrationRenewal
+                              : settings.mStoreRetryPause * 2);
+  }
+}
+
+bool
+state_keeper::Register()
+{
+  const session_settings& settings = mContext.mSettings;
+  coordination_store& store = mContext.mPorts.mStore;
+  if (mLease == 0) {
+    const auto lease = store.OpenLease(settings.mRegistrationLifetime);
+    NoteStore(bool(lease), lease ? "" : lease.error().mDetail);
+    if (!lease) {
+      return false;
     }
-    mContext.mLoop.Sleep(settings.mStoreRetryPause * 2);
+    mLease = lease.value();
+  }
+  const std::string key = std::string(store_keys::kProxies) + mContext.Name();
+  const auto listing = store.List(key, settings.mStoreTimeout);
+  NoteStore(bool(listing), listing ? "" : listing.error().mDetail);
+  if (!listing) {
+    return false;
+  }
+  store_revision revision = 0;
+  for (const store_item& item : listing.value().mItems) {
+    revision = item.mKey == key ? item.mRevision : revision;
+  }
+  const auto written =
+    store.Put(key, "{}", revision, mLease, settings.mStoreTimeout);
+  NoteStore(bool(written), written ? "" : written.error().mDetail);
+  const bool done = written && written.value().mEnd == store_write_end::Written;
+  if (written && written.value().mEnd == store_write_end::LeaseEnded) {
+    mLease = 0;
+  }
+  Log(log_level::Info,
+      "proxies",
+      "Registration written. done={} lease={}",
+      done,
+      mLease);
+  if (done) {
+    mProxies[mContext.Name()] = { true, mContext.Now() };
   }
+  return done;
 }
 
 void
--- a/Source/Sessions/clStoreKeys.h
+++ b/Source/Sessions/clStoreKeys.h
@@ -15,6 +15,9 @@
 constexpr std::string_view kFailover = "catkinloom/failover/";
 /// One key for each live proxy, under its lease.
 constexpr std::string_view kProxies = "catkinloom/proxies/";
+/// One key for each proxy, without a lease, that names its permit's lease.
+/// Nobody watches them, so they lie outside kOwn.
+constexpr std::string_view kPermits = "catkinloom-permits/";
 }
 
 /// Writes a failover record as it is stored; its revision is the store's.
--- a/Tests/Processes/test_sessions.py
+++ b/Tests/Processes/test_sessions.py
@@ -131,6 +131,16 @@
         self.assertEqual(Caller(proxy, "current").opening, "READY I -")
 
 
+    def test_restarted_proxy_serves_current_reads(self):
+        proxy = self.proxies[0]
+        for _ in range(3):
+            proxy.process.kill()
+            proxy.process.wait()
+            proxy.start()
+            wait_until(proxy.is_ready)
+            self.assertEqual(self.caller("current").read("x"), "-")
+
+
 class LeaderTest(FleetCase):
     def write_until_done(self, caller_of, item, value, seconds=8):
         """Files a write again and again; returns the time it took."""
