sessions: cut a long statement at most once; end sessions of a draining proxy after an operation

Ruled out: a slow instance; each run ended as cut by us. Change: the first try of a read gets at least a third of its time, the others all that is left; a draining proxy ends a session with an answer, or after half a second without one.

--- a/Source/Runtime/clHttpClient.cxx
+++ b/Source/Runtime/clHttpClient.cxx
@@ -24,8 +24,8 @@
 void
 SetKeepAlive(int aSocket)
 {
-  constexpr int on = 1;
-  ::setsockopt(aSocket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  constexpr int kOn = 1;
+  ::setsockopt(aSocket, SOL_SOCKET, SO_KEEPALIVE, &kOn, sizeof(kOn));
   ::setsockopt(
     aSocket, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeAfterS, sizeof(kProbeAfterS));
   ::setsockopt(
--- a/Source/Sessions/clCallerSession.cxx
+++ b/Source/Sessions/clCallerSession.cxx
@@ -13,6 +13,7 @@
   , mService(aService)
   , mStream(std::move(aStream))
   , mOnEnded(std::move(aOnEnded))
+  , mAnsweredAt(aContext.Now())
 {
 }
 
@@ -39,6 +40,7 @@
 caller_session::Work()
 {
   const time_point receivedAt = mContext.Now();
+  mServed = false;
   std::string_view line;
   bool goOn = true;
   while (goOn && mStream->TakeLine(line)) {
@@ -54,7 +56,8 @@
     mOut.clear();
   }
   mWorking = false;
-  if (!goOn || (mEndWhenIdle && !IsInTransaction())) {
+  mAnsweredAt = mContext.Now();
+  if (!goOn || (mEndWhenIdle && mServed && !IsInTransaction())) {
     End();
     return;
   }
@@ -157,6 +160,7 @@
   if (aOutcome.mInstance.empty() && !aOutcome.mError) {
     return;
   }
+  mServed = true;
   LogDecision(now,
               aOutcome.mError.has_value(),
               "route",
@@ -173,10 +177,11 @@
 }
 
 void
-caller_session::EndWhenIdle()
+caller_session::EndWhenIdle(nanoseconds aQuiet)
 {
   mEndWhenIdle = true;
-  if (!mWorking && !IsInTransaction()) {
+  const bool quiet = mContext.Now() - mAnsweredAt >= aQuiet;
+  if (!mWorking && quiet && !IsInTransaction()) {
     // The pending wait for messages ends the session.
     mStream->Close();
   }
--- a/Source/Sessions/clCallerSession.h
+++ b/Source/Sessions/clCallerSession.h
@@ -24,8 +24,9 @@
 
   void Start();
 
-  /// Ends the session if it is idle; a busy one ends after its operation.
-  void EndWhenIdle();
+  /// Ends the session after its next operation, or now if its caller has been
+  /// quiet for aQuiet: a caller that is about to send would lose its message.
+  void EndWhenIdle(nanoseconds aQuiet);
 
   /// Ends a transaction whose caller has paused for too long.
   void EndIdleTransaction(time_point aNow);
@@ -57,6 +58,9 @@
   bool mWorking = false;
   bool mEnded = false;
   bool mEndWhenIdle = false;
+  /// Something ran on an instance since the last message.
+  bool mServed = false;
+  time_point mAnsweredAt;
 };
 
 } // namespace catkinloom
--- a/Source/Sessions/clSessionDaemon.cxx
+++ b/Source/Sessions/clSessionDaemon.cxx
@@ -200,7 +200,8 @@
       if (cutTransactions && idleTransaction) {
         session->Abort();
       } else {
-        session->EndWhenIdle();
+        session->EndWhenIdle(mAcceptor.is_open() ? settings.mDrainQuiet
+                                                 : milliseconds(0));
       }
     }
     if (mSessions.empty() && !mAcceptor.is_open()) {
--- a/Source/Sessions/clSessionSettings.h
+++ b/Source/Sessions/clSessionSettings.h
@@ -98,6 +98,9 @@
   /// Time in which an open transaction may end after a drain began.  Source:
   /// half of the platform's grace of 6 s.
   milliseconds mDrainTransactions{ 3000 };
+  /// Quiet time after which a draining proxy ends a session between two
+  /// operations.
+  milliseconds mDrainQuiet{ 500 };
   /// Time after which no caller is accepted any more.
   milliseconds mDrainAccepting{ 3500 };
   /// Time after which the process ends, finished or not.  Source: the
--- a/Source/Sessions/clStatementService.cxx
+++ b/Source/Sessions/clStatementService.cxx
@@ -178,8 +178,13 @@
                                const attempt& aAttempt) const
 {
   const nanoseconds left = LeftOf(aAttempt);
+  // A statement that takes long by itself must not be cut again and again.
+  if (aAttempt.mTries > 1) {
+    return left;
+  }
+  const nanoseconds share = (aAttempt.mDeadline - aAttempt.mReceivedAt) / 3;
   const nanoseconds patience = std::max<nanoseconds>(
-    aInstance.mAnswerTime * kPatienceFactor, kLeastPatience);
+    { aInstance.mAnswerTime * kPatienceFactor, kLeastPatience, share });
   return patience + kLeastPatience < left ? patience : left;
 }
 
