--- a/Source/Sessions/clSessionContext.h
+++ b/Source/Sessions/clSessionContext.h
@@ -35,7 +35,12 @@
     : mLoop(aLoop)
     , mPorts(aPorts)
     , mSettings(aSettings)
-    , mUpstreams{ aLoop, aPorts.mStatements, mSettings, aName, aZone, 1 }
+    , mUpstreams{ aLoop,
+                  aPorts.mStatements,
+                  mSettings,
+                  std::move(aName),
+                  std::move(aZone),
+                  1 }
     , mDesiredKnown(aLoop)
   {
   }
--- a/Source/Settings/clSessionFile.cxx
+++ b/Source/Settings/clSessionFile.cxx
@@ -4,6 +4,45 @@
 
 namespace catkinloom {
 
+namespace {
+
+result<void>
+ReadAddresses(const yaml_mapping& aRoot, session_file& aFile)
+{
+  BOOST_OUTCOME_TRY(const yaml_mapping store,
+                    aRoot.Mapping("store", { "address" }));
+  BOOST_OUTCOME_TRY(aFile.mStore, store.Text("address"));
+  BOOST_OUTCOME_TRY(const yaml_mapping promotions,
+                    aRoot.Mapping("promotions", { "address" }));
+  if (promotions.Has("address")) {
+    BOOST_OUTCOME_TRY(aFile.mPromotions, promotions.Text("address"));
+  }
+  return boost::outcome_v2::success();
+}
+
+result<void>
+ReadListen(const yaml_mapping& aRoot, session_file& aFile)
+{
+  BOOST_OUTCOME_TRY(const yaml_mapping listen,
+                    aRoot.Mapping("listen", { "callers", "ready", "metrics" }));
+  BOOST_OUTCOME_TRY(aFile.mCallers, listen.Text("callers"));
+  BOOST_OUTCOME_TRY(aFile.mReady, listen.Text("ready"));
+  BOOST_OUTCOME_TRY(aFile.mMetrics, listen.Text("metrics"));
+  return boost::outcome_v2::success();
+}
+
+result<void>
+ReadNames(const yaml_mapping& aRoot, session_file& aFile)
+{
+  BOOST_OUTCOME_TRY(aFile.mName, aRoot.Text("name"));
+  BOOST_OUTCOME_TRY(aFile.mZone, aRoot.Text("zone"));
+  BOOST_OUTCOME_TRY(const yaml_mapping log, aRoot.Mapping("log", { "level" }));
+  BOOST_OUTCOME_TRY(aFile.mLogLevel, log.Text("level", aFile.mLogLevel));
+  return boost::outcome_v2::success();
+}
+
+} // namespace
+
 result<session_file>
 ReadSessionFile(const std::string& aFile, const std::string& aText)
 {
@@ -17,23 +56,9 @@
       error_kind::BadSettings,
       { "name", "zone", "listen", "store", "promotions", "log" }));
   session_file file;
-  BOOST_OUTCOME_TRY(file.mName, root.Text("name"));
-  BOOST_OUTCOME_TRY(file.mZone, root.Text("zone"));
-  BOOST_OUTCOME_TRY(const yaml_mapping listen,
-                    root.Mapping("listen", { "callers", "ready", "metrics" }));
-  BOOST_OUTCOME_TRY(file.mCallers, listen.Text("callers"));
-  BOOST_OUTCOME_TRY(file.mReady, listen.Text("ready"));
-  BOOST_OUTCOME_TRY(file.mMetrics, listen.Text("metrics"));
-  BOOST_OUTCOME_TRY(const yaml_mapping store,
-                    root.Mapping("store", { "address" }));
-  BOOST_OUTCOME_TRY(file.mStore, store.Text("address"));
-  BOOST_OUTCOME_TRY(const yaml_mapping promotions,
-                    root.Mapping("promotions", { "address" }));
-  if (promotions.Has("address")) {
-    BOOST_OUTCOME_TRY(file.mPromotions, promotions.Text("address"));
-  }
-  BOOST_OUTCOME_TRY(const yaml_mapping log, root.Mapping("log", { "level" }));
-  BOOST_OUTCOME_TRY(file.mLogLevel, log.Text("level", file.mLogLevel));
+  BOOST_OUTCOME_TRY(ReadNames(root, file));
+  BOOST_OUTCOME_TRY(ReadListen(root, file));
+  BOOST_OUTCOME_TRY(ReadAddresses(root, file));
   return file;
 }
 
--- a/StandIns/fleet_stand_in.py
+++ b/StandIns/fleet_stand_in.py
@@ -119,6 +119,7 @@
         self.mode = "up"
         self.lose_answers = 0
         self.commit_delay_s = 0
+        self.read_delay_s = 0
         self.cut_from_group = False
         self.runs = []
         self.writers = set()
@@ -255,6 +256,7 @@
             return await self.statement(ident, [mode] + text[2:], state)
         elif verb == "READ":
             self.runs.append((ident, "READ", dict(state["values"])))
+            await asyncio.sleep(self.read_delay_s)
             return f"DATAROW {self.value_of(text[1])}\r\n" + \
                 self.done(ident, state)
         elif verb == "WRITE":
--- a/Tests/Processes/test_sessions.py
+++ b/Tests/Processes/test_sessions.py
@@ -79,6 +79,13 @@
         self.fleet.instances["i-1"].lose_answers = 1
         self.assertEqual(caller.read("x"), "1")
 
+    def test_read_that_is_slow_by_itself_is_not_cut_until_its_time_is_up(self):
+        """Found as incident inc-e488: cut after 250 ms at each of its tries."""
+        caller = self.caller("current")
+        caller.write("x", "1")
+        self.fleet.instances["i-1"].read_delay_s = 0.4
+        self.assertEqual(caller.read("x"), "1")
+
     def test_answer_lost_of_a_write_is_told_as_unknown_and_runs_once(self):
         caller = self.caller("current")
         self.fleet.instances["i-1"].lose_answers = 1
