--- a/Tests/Processes/test_sessions.py
+++ b/Tests/Processes/test_sessions.py
@@ -83,7 +83,7 @@
         """Found as incident inc-e488: cut after 250 ms at each of its tries."""
         caller = self.caller("current")
         caller.write("x", "1")
-        self.fleet.instances["i-1"].read_delay_s = 0.4
+        self.fleet.instances["i-1"].read_delay_s = 0.55
         self.assertEqual(caller.read("x"), "1")
 
     def test_answer_lost_of_a_write_is_told_as_unknown_and_runs_once(self):
