--- a/Tests/Decisions/clSessionStateTest.cxx
+++ b/Tests/Decisions/clSessionStateTest.cxx
@@ -9,7 +9,7 @@
 struct preparation_fixture
 {
   connection_preparation Plan(
-    std::optional<prepared_statement> aNeeded = std::nullopt) const
+    const std::optional<prepared_statement>& aNeeded = std::nullopt) const
   {
     return PlanPreparation(mSession, mConnection, aNeeded);
   }
