failover: count a hold only above every term that a member knows

The next term was taken from log positions alone, which lag behind after a promotion without a commit yet, and held >= next accepted the hold of the attempt that had begun that very term. Ruled out: the step-down order, whose answer says whether it leads. Change: instances' terms are remembered from their status, and a pure function judges every hold against the newest term of all answers. Tests: four in clFailoverPlanTest; hold_of_an_earlier_attempt_is_no_stop states the case that the former comparison accepted.

--- a/Source/Decisions/clFailoverPlan.cxx
+++ b/Source/Decisions/clFailoverPlan.cxx
@@ -29,6 +29,27 @@
 
 } // namespace
 
+term_number
+NewestTerm(const std::vector<failover_member>& aMembers)
+{
+  term_number newest = 0;
+  for (const failover_member& member : aMembers) {
+    newest = std::max({ newest, member.mTerm, member.mPosition.mTerm });
+  }
+  return newest;
+}
+
+void
+JudgeHolds(std::vector<failover_member>& aMembers)
+{
+  const term_number newest = NewestTerm(aMembers);
+  for (failover_member& member : aMembers) {
+    if (member.mHeldTerm != 0) {
+      member.mStopped = member.mHeldTerm > newest;
+    }
+  }
+}
+
 bool
 IsEveryCommitStopped(const std::vector<failover_member>& aMembers,
                      const std::string& aPrimary,
--- a/Source/Decisions/clFailoverPlan.h
+++ b/Source/Decisions/clFailoverPlan.h
@@ -17,10 +17,24 @@
   bool mDraining = false;
   /// It was told to stop receiving, or to stop leading, and has said so.
   bool mStopped = false;
+  /// Newest term that it knows, as it last said.
+  term_number mTerm = 0;
+  /// Term up to which it has stopped receiving; 0 when no hold stopped it.
+  term_number mHeldTerm = 0;
   /// End of its log when it said so.
   log_position mPosition;
 };
 
+/// Newest term that any member knows.  A term without a commit yet stands in no
+/// log position, so that the members' own word counts as well.
+term_number
+NewestTerm(const std::vector<failover_member>& aMembers);
+
+/// Counts a hold as a stop only if its term is above every term that any member
+/// knows: the hold of an earlier attempt ended with that attempt's promotion.
+void
+JudgeHolds(std::vector<failover_member>& aMembers);
+
 /// True when no commit can be acknowledged any more: every instance that may
 /// lead has stopped leading, or too few instances can confirm its commits.
 ///
--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -229,13 +229,13 @@
 }
 
 term_number
-failover_runner::NewestTerm(const upstream_group& aGroup) const
+failover_runner::NextTerm(const upstream_group& aGroup) const
 {
   term_number newest = 0;
   for (const auto& instance : aGroup.Instances()) {
-    newest = std::max(newest, instance->mPosition.mTerm);
+    newest = std::max({ newest, instance->mTerm, instance->mPosition.mTerm });
   }
-  return newest;
+  return newest + 1;
 }
 
 bool
@@ -339,7 +339,7 @@
     return;
   }
   const auto status = aAttempt.mGroup.Order(
-    *primary, instance_order::StepDown, NewestTerm(aAttempt.mGroup) + 1);
+    *primary, instance_order::StepDown, NextTerm(aAttempt.mGroup));
   if (status && !status.value().mLeads) {
     MemberOf(aAttempt.mMembers, aAttempt.mPrimary).mStopped = true;
     MemberOf(aAttempt.mMembers, aAttempt.mPrimary).mPosition =
@@ -394,7 +394,7 @@
 failover_runner::StopOnce(attempt& aAttempt)
 {
   upstream_group& group = aAttempt.mGroup;
-  const term_number next = NewestTerm(group) + 1;
+  const term_number next = NextTerm(group);
   const bool planned = aAttempt.mReason == failover_reason::Leaving;
   const auto orderOf = [&aAttempt](const upstream_instance& aInstance) {
     return aInstance.mEntry.mId == aAttempt.mPrimary ? instance_order::StepDown
@@ -419,25 +419,27 @@
       MemberOf(aAttempt.mMembers, ordered[i]->mEntry.mId);
     if (answers[i]) {
       const instance_status& status = answers[i].value();
-      member.mStopped = order == instance_order::StepDown
-                          ? !status.mLeads
-                          : status.mHeldTerm >= next;
+      const bool isHold = order == instance_order::Hold;
+      member.mStopped = !isHold && !status.mLeads;
+      member.mHeldTerm = isHold ? status.mHeldTerm : 0;
+      member.mTerm = status.mTerm;
       member.mPosition = status.mReceived;
-      ordered[i]->mPosition = std::max(ordered[i]->mPosition, status.mReceived);
     }
     Log(log_level::Info,
         "failover",
-        "Order answered. service={} instance={} order={} term={} stopped={} "
-        "log={}.{} cause={}",
+        "Order answered. service={} instance={} order={} term={} own_term={} "
+        "held_term={} log={}.{} cause={}",
         group.Service(),
         member.mId,
         order == instance_order::StepDown ? "step_down" : "hold",
         next,
-        member.mStopped,
+        member.mTerm,
+        member.mHeldTerm,
         member.mPosition.mTerm,
         member.mPosition.mIndex,
         answers[i] ? "" : answers[i].error().mDetail);
   }
+  JudgeHolds(aAttempt.mMembers);
 }
 
 std::optional<std::string>
--- a/Source/Sessions/clFailoverRunner.h
+++ b/Source/Sessions/clFailoverRunner.h
@@ -99,7 +99,8 @@
   bool Settle(attempt& aAttempt, const std::string& aLeader);
   void AwaitEffect(attempt& aAttempt, const std::string& aLeader);
   void ResumeOthers(attempt& aAttempt, const std::string& aLeader);
-  term_number NewestTerm(const upstream_group& aGroup) const;
+  /// A term above every one that the group's instances are known to know.
+  term_number NextTerm(const upstream_group& aGroup) const;
 
   session_context& mContext;
   std::map<std::string, group_watch> mWatches;
--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -448,6 +448,8 @@
   BOOST_OUTCOME_TRY(const instance_status status,
                     mEnvironment.mCodec.DecodeStatus(reply.mRow));
   aInstance.mSaidLeads = status.mLeads;
+  aInstance.mTerm = std::max(aInstance.mTerm, status.mTerm);
+  aInstance.mPosition = std::max(aInstance.mPosition, status.mReceived);
   return status;
 }
 
--- a/Source/Sessions/clUpstreamGroup.h
+++ b/Source/Sessions/clUpstreamGroup.h
@@ -30,6 +30,8 @@
   std::uint32_t mOpen = 0;
   std::uint32_t mInFlight = 0;
   log_position mPosition;
+  /// Newest term that it told when asked about itself.
+  term_number mTerm = 0;
   /// It said that it leads, in the directory or in an answer.
   bool mSaidLeads = false;
   /// It did not answer a new connection; it is not tried until then.
--- a/Tests/Decisions/clFailoverPlanTest.cxx
+++ b/Tests/Decisions/clFailoverPlanTest.cxx
@@ -16,7 +16,7 @@
         return member;
       }
     }
-    return mMembers.emplace_back(failover_member{ aId, false, false, {} });
+    return mMembers.emplace_back(failover_member{ aId });
   }
 
   void Stop(const std::string& aId, log_position aPosition)
@@ -30,9 +30,7 @@
     return IsEveryCommitStopped(mMembers, "a", mMayLead, 1);
   }
 
-  std::vector<failover_member> mMembers{ { "a", false, false, {} },
-                                         { "b", false, false, {} },
-                                         { "c", false, false, {} } };
+  std::vector<failover_member> mMembers{ { "a" }, { "b" }, { "c" } };
   std::vector<std::string> mMayLead;
 };
 
@@ -115,3 +113,44 @@
 {
   CHECK_FALSE(ChooseNextLeader(mMembers, "a"));
 }
+
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "term_without_a_commit_is_known_from_a_member")
+{
+  Member("b").mPosition = { 3, 7 };
+  Member("b").mTerm = 4;
+  CHECK(NewestTerm(mMembers) == 4);
+}
+
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "hold_of_an_earlier_attempt_is_no_stop")
+{
+  // Held for term 4 by the attempt whose promotion began term 4.
+  Member("b").mHeldTerm = 4;
+  Member("c").mHeldTerm = 4;
+  Member("c").mTerm = 4;
+  JudgeHolds(mMembers);
+  CHECK_FALSE(Member("b").mStopped);
+  CHECK_FALSE(Member("c").mStopped);
+}
+
+TEST_CASE_FIXTURE(failover_plan_fixture, "hold_above_every_term_is_a_stop")
+{
+  Member("b").mHeldTerm = 5;
+  Member("c").mHeldTerm = 5;
+  Member("c").mTerm = 4;
+  JudgeHolds(mMembers);
+  CHECK(IsStopped());
+}
+
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "hold_is_no_stop_once_a_newer_term_is_known")
+{
+  Member("b").mHeldTerm = 5;
+  Member("c").mHeldTerm = 5;
+  JudgeHolds(mMembers);
+  CHECK(IsStopped());
+  Member("a").mTerm = 5;
+  JudgeHolds(mMembers);
+  CHECK_FALSE(IsStopped());
+}
