failover: do not choose a leader again that reaches no replica

Cause: with the holds judged rightly, the two process tests of a leader that is cut off from its group failed (not within 8 s; newest acknowledged 19). The trace shows the cut-off leader stepping down with the longest log, its tail never acknowledged, and being promoted again every 2 s. The code before passed by accident: it held replicas for a term that was not above their own, told the leader to step down for the same term, was refused, and so left it out. Ruled out: the holds themselves (own_term=1, held_term=2 in the log). Change: where commits are stuck and every other member has stopped, those hold every acknowledged commit between them, so that the primary is left out; not within 20 s of an instance having left with its log. Open: a proxy that started within those 20 s does not know who left before it.

--- a/Source/Decisions/clFailoverPlan.cxx
+++ b/Source/Decisions/clFailoverPlan.cxx
@@ -77,6 +77,20 @@
   return aMayLead.front();
 }
 
+bool
+HoldEveryCommitWithout(const std::vector<failover_member>& aMembers,
+                       const std::string& aPrimary,
+                       std::uint32_t aSyncReplicas,
+                       bool aHasLost)
+{
+  const bool hasOthers = std::any_of(
+    aMembers.begin(), aMembers.end(), [&](const failover_member& aMember) {
+      return aMember.mId != aPrimary;
+    });
+  return aSyncReplicas > 0 && !aHasLost && hasOthers &&
+         OpenReceivers(aMembers, aPrimary) == 0;
+}
+
 std::optional<std::string>
 ChooseNextLeader(const std::vector<failover_member>& aMembers,
                  const std::string& aPrimary)
--- a/Source/Decisions/clFailoverPlan.h
+++ b/Source/Decisions/clFailoverPlan.h
@@ -22,7 +22,7 @@
   /// Term up to which it has stopped receiving; 0 when no hold stopped it.
   term_number mHeldTerm = 0;
   /// End of its log when it said so.
-  log_position mPosition;
+  log_position mPosition{};
 };
 
 /// Newest term that any member knows.  A term without a commit yet stands in no
@@ -53,6 +53,15 @@
 std::optional<std::string>
 OnlyOrdered(const std::vector<std::string>& aMayLead);
 
+/// True when the members other than the primary hold every acknowledged commit
+/// between them: each commit needed one of them, and all of them have stopped.
+/// aHasLost: an instance left the group lately, perhaps with the only copy.
+bool
+HoldEveryCommitWithout(const std::vector<failover_member>& aMembers,
+                       const std::string& aPrimary,
+                       std::uint32_t aSyncReplicas,
+                       bool aHasLost);
+
 /// The stopped instance that holds every acknowledged commit and should lead:
 /// the longest log, and among equals one that stays, the present primary last.
 /// Empty when none was stopped.
--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -28,6 +28,10 @@
 /// pages say "some hundred ms"; the deployments take 600 to 1,000 ms.
 constexpr milliseconds kLeastPromotionTime{ 200 };
 
+/// Time after which every replica that stays has what one that left had.
+/// Source: the deployments' replicas miss changes for 12 s at the longest.
+constexpr milliseconds kMemberMemory{ 20000 };
+
 /// Longest time for one attempt.
 constexpr milliseconds kAttemptLimit{ 8000 };
 
@@ -452,8 +456,23 @@
                            [&ordered](const failover_member& aMember) {
                              return aMember.mId == *ordered && aMember.mStopped;
                            });
-  return answers ? ordered
-                 : ChooseNextLeader(aAttempt.mMembers, aAttempt.mPrimary);
+  if (answers) {
+    return ordered;
+  }
+  std::vector<failover_member> candidates = aAttempt.mMembers;
+  // A primary that reaches no replica would be just as stuck afterwards.
+  const bool isCutOff =
+    aAttempt.mReason == failover_reason::CommitsStuck &&
+    HoldEveryCommitWithout(candidates,
+                           aAttempt.mPrimary,
+                           aAttempt.mGroup.Declared().mSyncReplicas,
+                           aAttempt.mGroup.HasLostMember(kMemberMemory));
+  if (isCutOff) {
+    std::erase_if(candidates, [&aAttempt](const failover_member& aMember) {
+      return aMember.mId == aAttempt.mPrimary;
+    });
+  }
+  return ChooseNextLeader(candidates, aAttempt.mPrimary);
 }
 
 bool
--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -66,6 +66,14 @@
   return std::max(LargestShare() / 2, 1U);
 }
 
+void
+upstream_group::MarkGone(upstream_instance& aInstance)
+{
+  aInstance.mGone = true;
+  aInstance.mIdle.clear();
+  mLostMemberAt = Now();
+}
+
 void
 upstream_group::ApplyEntries(const std::vector<instance_entry>& aEntries)
 {
@@ -77,8 +85,7 @@
                           instance->mEntry.mStartedAt == entry.mStartedAt;
     if (!sameLife) {
       if (instance) {
-        instance->mGone = true;
-        instance->mIdle.clear();
+        MarkGone(*instance);
       }
       instance = std::make_shared<upstream_instance>();
     }
@@ -119,8 +126,7 @@
         "Instance gone. service={} instance={}",
         mService,
         former->mEntry.mId);
-    former->mGone = true;
-    former->mIdle.clear();
+    MarkGone(*former);
   }
   std::sort(
     next.begin(), next.end(), [](const auto& aLeft, const auto& aRight) {
--- a/Source/Sessions/clUpstreamGroup.h
+++ b/Source/Sessions/clUpstreamGroup.h
@@ -131,6 +131,12 @@
     return mInstances;
   }
 
+  /// An instance left, or began anew without its log, in the last aWithin.
+  bool HasLostMember(nanoseconds aWithin) const
+  {
+    return mLostMemberAt && Now() < *mLostMemberAt + aWithin;
+  }
+
   /// Number by which a placement names the instance.
   std::uint32_t BitOf(const upstream_instance& aInstance) const;
 
@@ -153,6 +159,7 @@
     fiber_wait* mWait = nullptr;
   };
 
+  void MarkGone(upstream_instance& aInstance);
   /// Opens a connection apart from the pool, for an order.
   std::unique_ptr<statement_connection> OpenForOrder(
     const upstream_instance& aInstance);
@@ -182,6 +189,8 @@
   fiber_signal mChanged;
   std::list<waiting_loan> mWaiting;
   bool mAsking = false;
+  /// When an instance was last lost with its log; empty if none was.
+  std::optional<time_point> mLostMemberAt;
 };
 
 } // namespace catkinloom
--- a/Tests/Decisions/clFailoverPlanTest.cxx
+++ b/Tests/Decisions/clFailoverPlanTest.cxx
@@ -154,3 +154,28 @@
   JudgeHolds(mMembers);
   CHECK_FALSE(IsStopped());
 }
+
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "replicas_all_stopped_hold_every_commit_without_the_primary")
+{
+  Stop("b", { 1, 5 });
+  CHECK_FALSE(HoldEveryCommitWithout(mMembers, "a", 1, false));
+  Stop("c", { 1, 4 });
+  CHECK(HoldEveryCommitWithout(mMembers, "a", 1, false));
+}
+
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "replicas_do_not_hold_every_commit_after_one_left")
+{
+  Stop("b", { 1, 5 });
+  Stop("c", { 1, 4 });
+  CHECK_FALSE(HoldEveryCommitWithout(mMembers, "a", 1, true));
+}
+
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "replicas_do_not_hold_every_commit_if_none_is_confirmed")
+{
+  Stop("b", { 1, 5 });
+  Stop("c", { 1, 4 });
+  CHECK_FALSE(HoldEveryCommitWithout(mMembers, "a", 0, false));
+}
