sessions: keep an instance's queue short, and open connections apart

The trace shows every proxy opening up to 13 connections to one leader at the same time, each a slot's 27 ms, 600 ms openings given up and begun again, and statements that ran into their limit of 1 s in the instance's queue; before that, 7,297 of 27,785 arrivals refused as busy and sent again at once. Ruled out: processor time (0.026 of a core), the store (back at 37.4 s, all registered at 37.65 s), the directory (both loaded leaders known with their replicas at 37.7 s). Change: a pure concurrency_limit for each instance estimates its own part of the instance's queue from answer times; one connection at a time is opened to an instance, in a fiber of its own; waiting statements that can still be in time go first; a waiter is woken once; busy instances do not count as unreachable, and unreachable ones are tried by one connection at a time with a growing pause; a statement refused for want of a slot in a transaction is offered again there; answers of refusals no longer make an instance look fast; opened connections are counted in the metrics.

--- a/Source/Decisions/clInstanceSelector.cxx
+++ b/Source/Decisions/clInstanceSelector.cxx
@@ -66,7 +66,8 @@
     if (!IsUsable(candidate, aNeed, i, aNow)) {
       continue;
     }
-    if (!candidate.mHasIdle && !candidate.mMayOpen) {
+    const bool hasConnection = candidate.mHasIdle || candidate.mMayOpen;
+    if (!hasConnection || !candidate.mHasRoom) {
       if (chosen.mEnd == placement_end::NoneUsable) {
         chosen.mEnd = placement_end::AllBusy;
       }
--- a/Source/Decisions/clInstanceSelector.h
+++ b/Source/Decisions/clInstanceSelector.h
@@ -30,6 +30,8 @@
   bool mHasIdle = false;
   /// One more connection may be opened.
   bool mMayOpen = false;
+  /// One more statement may be sent beside those in flight.
+  bool mHasRoom = true;
   /// Smoothed time of an answer.
   nanoseconds mAnswerTime{ 0 };
 };
@@ -50,7 +52,7 @@
 {
   /// mInstance takes it.
   Chosen,
-  /// Some instance could take it, but none has a connection to spare.
+  /// Some instance could take it, but none has a connection or room to spare.
   AllBusy,
   /// No instance can take it.
   NoneUsable,
--- a/Source/Sessions/clSessionContext.h
+++ b/Source/Sessions/clSessionContext.h
@@ -38,6 +38,7 @@
     , mUpstreams{ aLoop,
                   aPorts.mStatements,
                   mSettings,
+                  mMetrics,
                   std::move(aName),
                   std::move(aZone),
                   1 }
@@ -61,8 +62,8 @@
   event_loop& mLoop;
   session_ports mPorts;
   const session_settings mSettings;
-  upstream_environment mUpstreams;
   session_metrics mMetrics;
+  upstream_environment mUpstreams;
   /// In force; null until the first one is known.
   std::shared_ptr<const desired_state> mDesired;
   /// Raised when the first desired state is known.
--- a/Source/Sessions/clSessionSettings.h
+++ b/Source/Sessions/clSessionSettings.h
@@ -15,9 +15,18 @@
   /// Longest line of a caller or an instance.  Source: the platform's pages
   /// allow messages of 1 MiB.
   std::size_t mMaxLineBytes = 1048576;
-  /// Time to connect to an instance and be accepted.  Source: a connection
-  /// costs 12 to 27 ms of a busy slot.
-  milliseconds mConnectTimeout{ 600 };
+  /// Time to connect to an instance.  Source: a round trip between zones takes
+  /// under 2 ms; a lost first packet is sent again only after a second.
+  milliseconds mConnectTimeout{ 250 };
+  /// Time to be accepted by an instance.  Source: a connection costs 12 to 27
+  /// ms of a slot, behind a queue that takes half a second, and some instances
+  /// run five times slower.  An opening that is given up has cost its slot.
+  milliseconds mAcceptTimeout{ 1500 };
+  /// Time for an instance to roll a transaction back.
+  milliseconds mRollbackTimeout{ 600 };
+  /// Pause before a statement is offered again to an instance that had too
+  /// much work.  Source: a slot of an instance is free every 4 to 10 ms.
+  milliseconds mBusyPause{ 15 };
   /// Time for a caller to take its answer before it is given up.
   milliseconds mCallerWriteTimeout{ 5000 };
   /// Longest wait of an opening session for the first desired state.  Source:
--- a/Source/Sessions/clStatementService.cxx
+++ b/Source/Sessions/clStatementService.cxx
@@ -15,6 +15,10 @@
 /// Least such time, so that a short stall of an instance is sat out.
 constexpr milliseconds kLeastPatience{ 250 };
 
+/// Part of a route's target latency that a statement may wait for a connection
+/// and still be answered in time, as a divisor: the rest is for its run.
+constexpr int kPromptShare = 2;
+
 /// Tries of one statement before its caller is told to come back.
 constexpr std::uint32_t kMaxTries = 6;
 
@@ -258,6 +262,9 @@
   request.mNeed.mFloor = aFreshness.mFloor.value_or(log_position{});
   request.mNeed.mExcluded = aAttempt.mExcluded;
   request.mPriority = aSession.mRoute->mPriority;
+  request.mReceivedAt = aAttempt.mReceivedAt;
+  request.mPromptUntil =
+    aAttempt.mReceivedAt + aSession.mRoute->mTargetLatency / kPromptShare;
   request.mDeadline = aAttempt.mDeadline;
   return aGroup.Borrow(request);
 }
@@ -348,18 +355,19 @@
     return true;
   }
   const bool leads = aInstance.mEntry.mId == aGroup.Leadership().Leader();
-  if (!leads) {
+  if (aReply.Is(statement_error::Busy)) {
+    mContext.mLoop.Sleep(mContext.mSettings.mBusyPause);
+  } else if (!leads) {
     aAttempt.mExcluded |= aGroup.BitOf(aInstance);
   }
   return true;
 }
 
 void
-statement_service::CountRead(const upstream_group& aGroup,
+statement_service::CountRead(upstream_group& aGroup,
                              const upstream_instance& aInstance)
 {
-  const bool leads = aInstance.mEntry.mId ==
-                     const_cast<upstream_group&>(aGroup).Leadership().Leader();
+  const bool leads = aInstance.mEntry.mId == aGroup.Leadership().Leader();
   (leads ? mContext.mMetrics.mReadsByLeader : mContext.mMetrics.mReadsByReplica)
     .Increment();
 }
@@ -498,6 +506,34 @@
   return Fail(aError, std::move(aDetail));
 }
 
+statement_reply
+statement_service::ExchangeInTransaction(upstream_group& aGroup,
+                                         connection_loan& aLoan,
+                                         const std::string& aBytes,
+                                         attempt& aAttempt,
+                                         bool aIsCommit)
+{
+  while (true) {
+    const nanoseconds patience = aIsCommit
+                                   ? LeftOf(aAttempt)
+                                   : PatienceFor(*aLoan.mInstance, aAttempt);
+    ++aAttempt.mTries;
+    statement_reply reply =
+      aGroup.Exchange(aLoan, aBytes, patience, aIsCommit);
+    // Refused for want of a slot: it did not run, and the transaction stands.
+    const bool mayOfferAgain =
+      reply.Is(statement_error::Busy) &&
+      reply.mPhase == session_phase::InTransaction &&
+      aAttempt.mTries < kMaxTries &&
+      mContext.Now() + mContext.mSettings.mBusyPause < aAttempt.mDeadline;
+    if (!mayOfferAgain) {
+      return reply;
+    }
+    mContext.mMetrics.mRetries.Increment();
+    mContext.mLoop.Sleep(mContext.mSettings.mBusyPause);
+  }
+}
+
 statement_outcome
 statement_service::AccessInTransaction(serving_session& aSession,
                                        const statement& aStatement,
@@ -520,11 +556,12 @@
     return FailTransaction(
       aSession, statement_error::Aborted, "connection lost");
   }
-  statement_reply reply =
-    group.Exchange(transaction.mLoan,
-                   Encode(aStatement, prepared, std::nullopt),
-                   PatienceFor(*transaction.mLoan.mInstance, aAttempt),
-                   false);
+  statement_reply reply = ExchangeInTransaction(
+    group,
+    transaction.mLoan,
+    Encode(aStatement, prepared, std::nullopt),
+    aAttempt,
+    false);
   transaction.mIdleSince = mContext.Now();
   if (reply.IsDone()) {
     statement_outcome outcome;
@@ -578,11 +615,12 @@
     EndTransaction(aSession, false);
     return Fail(statement_error::Aborted, "the leader is being replaced");
   }
-  statement_reply reply =
-    group.Exchange(transaction.mLoan,
-                   Encode(aStatement, std::nullopt, std::nullopt),
-                   LeftOf(tries),
-                   wrote);
+  statement_reply reply = ExchangeInTransaction(
+    group,
+    transaction.mLoan,
+    Encode(aStatement, std::nullopt, std::nullopt),
+    tries,
+    wrote);
   statement_outcome outcome;
   outcome.mInstance = transaction.mLoan.mInstance->mEntry.mId;
   outcome.mPosition = reply.mPosition;
@@ -651,7 +689,7 @@
     mContext.mPorts.mStatements.AppendRollback(bytes);
     mContext.mMetrics.mOwnStatements.Increment();
     const statement_reply reply = aGroup.Exchange(
-      *shared, bytes, mContext.mSettings.mConnectTimeout, false);
+      *shared, bytes, mContext.mSettings.mRollbackTimeout, false);
     if (!reply.IsDone()) {
       shared->mConnection->Close();
     }
--- a/Source/Sessions/clStatementService.h
+++ b/Source/Sessions/clStatementService.h
@@ -152,6 +152,14 @@
                    access_mode aMode,
                    attempt& aAttempt);
 
+  /// Sends a statement of an open transaction, again while the instance has no
+  /// slot for it.
+  statement_reply ExchangeInTransaction(upstream_group& aGroup,
+                                        connection_loan& aLoan,
+                                        const std::string& aBytes,
+                                        attempt& aAttempt,
+                                        bool aIsCommit);
+
   statement_outcome FailTransaction(serving_session& aSession,
                                     statement_error aError,
                                     std::string aDetail);
@@ -169,7 +177,7 @@
   /// Time to wait for one answer that may be asked for elsewhere or again.
   nanoseconds PatienceFor(const upstream_instance& aInstance,
                           const attempt& aAttempt) const;
-  void CountRead(const upstream_group& aGroup,
+  void CountRead(upstream_group& aGroup,
                  const upstream_instance& aInstance);
 
   session_context& mContext;
--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -1,9 +1,11 @@
 #include "clUpstreamGroup.h"
 
+#include "clDecisionLog.h"
 #include "clLog.h"
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <tuple>
 
 namespace catkinloom {
 
@@ -12,6 +14,15 @@
 /// Weight of one answer in the smoothed answer time.
 constexpr int kSmoothing = 8;
 
+/// Connections that this proxy opens to one instance at the same time.  Source:
+/// each costs 12 to 27 ms of a slot, and all proxies may open at once.
+constexpr std::uint32_t kMostOpening = 1;
+
+/// Doublings of the pause before an instance that does not answer is tried
+/// again.  Source: 0.8 s at the longest, well under the 4 s in which proxies
+/// must have caught up with a healed network.
+constexpr std::uint32_t kMostAvoidDoublings = 2;
+
 } // namespace
 
 upstream_group::upstream_group(upstream_environment& aEnvironment,
@@ -159,14 +170,20 @@
       instance->mSaidLeads && !mLeadership.Record().mCommitsStopped;
     candidate.mSameZone = instance->mEntry.mZone == mEnvironment.mZone;
     candidate.mDraining = instance->mEntry.mDraining;
-    candidate.mAvoidedUntil = instance->mAvoidedUntil;
+    // One connection at a time finds out whether it answers again.
+    const bool isProbed =
+      instance->mConnectFailures > 0 && instance->mOpening > 0;
+    candidate.mAvoidedUntil =
+      isProbed ? time_point::max() : instance->mAvoidedUntil;
     candidate.mLaggingUntil = instance->mLaggingUntil;
     candidate.mPosition = instance->mPosition;
     candidate.mInFlight = instance->mInFlight;
     candidate.mSlots = instance->mEntry.mSlots;
     candidate.mHasIdle = !instance->mIdle.empty();
     candidate.mMayOpen =
-      instance->mOpen < share && now >= instance->mNoOpenUntil;
+      instance->mOpen < share && now >= instance->mNoOpenUntil &&
+      instance->mOpening < kMostOpening;
+    candidate.mHasRoom = instance->mLimit.HasRoom(instance->mExecuting);
     candidate.mAnswerTime = instance->mAnswerTime;
     candidates.push_back(candidate);
   }
@@ -188,16 +205,9 @@
       if (connection) {
         return connection_loan{ std::move(instance), std::move(connection) };
       }
-      if (instance->mOpen >= LargestShare()) {
-        continue;
-      }
-      auto opened = OpenNew(std::move(instance), aRequest.mDeadline);
-      if (opened) {
-        return opened;
-      }
-      continue;
+      StartOpening(std::move(instance));
     }
-    const bool busy = chosen.mEnd == placement_end::AllBusy;
+    const bool busy = chosen.mEnd != placement_end::NoneUsable;
     const time_point until = busy ? aRequest.mDeadline : leaderUntil;
     if (now >= until) {
       return error{ busy ? error_kind::Overloaded
@@ -241,43 +251,89 @@
   return nullptr;
 }
 
-result<connection_loan>
-upstream_group::OpenNew(std::shared_ptr<upstream_instance> aInstance,
-                        time_point aDeadline)
+void
+upstream_group::StartOpening(std::shared_ptr<upstream_instance> aInstance)
 {
-  const session_settings& settings = mEnvironment.mSettings;
+  if (aInstance->mOpening >= kMostOpening) {
+    return;
+  }
   ++aInstance->mOpen;
-  ++aInstance->mInFlight;
+  ++aInstance->mOpening;
+  ++aInstance->mExecuting;
+  mEnvironment.mMetrics.mConnectionsOpened.Increment();
+  mEnvironment.mLoop.Spawn(
+    [this, instance = std::move(aInstance)] { OpenNew(instance); });
+}
+
+void
+upstream_group::OpenNew(const std::shared_ptr<upstream_instance>& aInstance)
+{
+  upstream_instance& instance = *aInstance;
+  const session_settings& settings = mEnvironment.mSettings;
   auto connection = std::make_unique<statement_connection>(
     mEnvironment.mLoop, mEnvironment.mCodec, settings.mMaxLineBytes);
-  const nanoseconds left =
-    std::max<nanoseconds>(aDeadline - Now(), milliseconds(1));
-  aInstance->mHealth.NoteSent(Now(), false);
-  const statement_reply reply =
-    connection->Open(aInstance->mEntry,
-                     mEnvironment.mProxy,
-                     std::min<nanoseconds>(left, settings.mConnectTimeout));
+  instance.mHealth.NoteSent(Now(), false);
+  const statement_reply reply = connection->Open(instance.mEntry,
+                                                 mEnvironment.mProxy,
+                                                 settings.mConnectTimeout,
+                                                 settings.mAcceptTimeout);
+  --instance.mExecuting;
+  --instance.mOpening;
   if (reply.IsAnswered()) {
-    aInstance->mHealth.NoteAnswered(Now(), false);
+    instance.mHealth.NoteAnswered(Now(), false);
+    NoteAnswered(instance);
   } else {
-    aInstance->mHealth.NoteLost(false);
+    instance.mHealth.NoteLost(false);
   }
   if (reply.IsDone()) {
-    return connection_loan{ std::move(aInstance), std::move(connection) };
+    ++instance.mInFlight;
+    Return({ aInstance, std::move(connection) });
+    return;
   }
-  --aInstance->mOpen;
-  --aInstance->mInFlight;
-  if (reply.Is(statement_error::ConnectionLimit)) {
-    aInstance->mNoOpenUntil = Now() + settings.mAvoidPause;
+  --instance.mOpen;
+  NoteNotOpened(instance, reply);
+  // What waits for this connection may find another instance now.
+  WakeAll();
+}
+
+void
+upstream_group::NoteAnswered(upstream_instance& aInstance)
+{
+  aInstance.mAnsweredAt = Now();
+  aInstance.mConnectFailures = 0;
+}
+
+void
+upstream_group::NoteNotOpened(upstream_instance& aInstance,
+                              const statement_reply& aReply)
+{
+  const session_settings& settings = mEnvironment.mSettings;
+  const time_point now = Now();
+  const bool answersOthers =
+    now - aInstance.mAnsweredAt < settings.mAcceptTimeout;
+  const bool isBusy = aReply.mOutcome == exchange_outcome::TimedOut &&
+                      answersOthers;
+  if (aReply.Is(statement_error::ConnectionLimit) || isBusy) {
+    aInstance.mNoOpenUntil = now + settings.mAvoidPause;
   } else {
-    aInstance->mAvoidedUntil = Now() + settings.mAvoidPause;
-  }
-  Log(log_level::Info,
-      "upstream",
-      "Instance did not accept a connection. instance={} error={}",
-      aInstance->mEntry.mId,
-      reply.mError ? StatementErrorName(*reply.mError) : "none");
-  return error{ error_kind::UpstreamUnreachable, aInstance->mEntry.mId };
+    ++aInstance.mConnectFailures;
+    const std::uint32_t doublings =
+      std::min(aInstance.mConnectFailures - 1, kMostAvoidDoublings);
+    aInstance.mAvoidedUntil = now + settings.mAvoidPause * (1U << doublings);
+  }
+  if (isBusy) {
+    aInstance.mLimit.OnRefused(now);
+  }
+  LogDecision(now,
+              true,
+              "upstream",
+              "Instance did not accept a connection. instance={} error={} "
+              "busy={} failures={} open={}",
+              aInstance.mEntry.mId,
+              aReply.mError ? StatementErrorName(*aReply.mError) : "none",
+              isBusy,
+              aInstance.mConnectFailures,
+              aInstance.mOpen);
 }
 
 void
@@ -286,7 +342,8 @@
   fiber_wait wait;
   const auto place = std::find_if(
     mWaiting.begin(), mWaiting.end(), [&](const waiting_loan& aOther) {
-      return aOther.mRequest->mPriority > aRequest.mPriority;
+      return std::tie(aRequest.mPriority, aRequest.mReceivedAt) <
+             std::tie(aOther.mRequest->mPriority, aOther.mRequest->mReceivedAt);
     });
   const auto self = mWaiting.insert(place, { &aRequest, &wait });
   boost::asio::steady_timer timer(mEnvironment.mLoop.Context());
@@ -307,11 +364,24 @@
 upstream_group::WakeNext(const upstream_instance& aInstance)
 {
   const bool leads = aInstance.mEntry.mId == mLeadership.Leader();
-  for (const waiting_loan& waiting : mWaiting) {
-    if (leads || !waiting.mRequest->mNeed.mLeaderOnly) {
+  const time_point now = Now();
+  waiting_loan* late = nullptr;
+  for (waiting_loan& waiting : mWaiting) {
+    const loan_request& request = *waiting.mRequest;
+    const bool fits = leads || !request.mNeed.mLeaderOnly;
+    if (waiting.mIsWoken || !fits) {
+      continue;
+    }
+    if (now < request.mPromptUntil) {
+      waiting.mIsWoken = true;
       waiting.mWait->Notify();
       return;
     }
+    late = late == nullptr ? &waiting : late;
+  }
+  if (late != nullptr) {
+    late->mIsWoken = true;
+    late->mWait->Notify();
   }
 }
 
@@ -348,14 +418,27 @@
   const std::shared_ptr<upstream_instance> instance = aLoan.mInstance;
   const time_point start = Now();
   instance->mHealth.NoteSent(start, aIsCommit);
+  ++instance->mExecuting;
   statement_reply reply = aLoan.mConnection->Exchange(aBytes, aTimeout);
   if (reply.IsAnswered()) {
     instance->mHealth.NoteAnswered(Now(), aIsCommit);
-    instance->mAnswerTime +=
-      ((Now() - start) - instance->mAnswerTime) / kSmoothing;
+    NoteAnswered(*instance);
   } else {
     instance->mHealth.NoteLost(aIsCommit);
   }
+  if (reply.IsDone()) {
+    const nanoseconds taken = Now() - start;
+    instance->mAnswerTime += (taken - instance->mAnswerTime) / kSmoothing;
+    if (!aIsCommit) {
+      // A commit also waits for a replica.
+      instance->mLimit.OnServed(instance->mExecuting, taken);
+    }
+  }
+  if (reply.Is(statement_error::Busy)) {
+    instance->mLimit.OnRefused(Now());
+  }
+  --instance->mExecuting;
+  WakeNext(*instance);
   LearnFrom(*instance, reply, aIsCommit);
   return reply;
 }
--- a/Source/Sessions/clUpstreamGroup.h
+++ b/Source/Sessions/clUpstreamGroup.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "clConcurrencyLimit.h"
 #include "clDesiredState.h"
 #include "clEventLoop.h"
 #include "clFiberSignal.h"
 #include "clInstanceSelector.h"
 #include "clLeadership.h"
 #include "clPrimaryHealth.h"
+#include "clSessionMetrics.h"
 #include "clStatementConnection.h"
 
 #include <functional>
@@ -28,7 +30,11 @@
   std::vector<std::unique_ptr<statement_connection>> mIdle;
   /// Connections of this proxy: idle, used, and being opened.
   std::uint32_t mOpen = 0;
+  /// Connections lent to a statement or transaction, or being opened for one.
   std::uint32_t mInFlight = 0;
+  /// Statements that wait for its answer, connections being opened included.
+  std::uint32_t mExecuting = 0;
+  concurrency_limit mLimit;
   log_position mPosition;
   /// Newest term that it told when asked about itself.
   term_number mTerm = 0;
@@ -36,6 +42,11 @@
   bool mSaidLeads = false;
   /// It did not answer a new connection; it is not tried until then.
   time_point mAvoidedUntil;
+  /// Connections that failed since it last answered.
+  std::uint32_t mConnectFailures = 0;
+  /// Connections that are being opened.
+  std::uint32_t mOpening = 0;
+  time_point mAnsweredAt;
   /// It has too many connections; none is opened until then.
   time_point mNoOpenUntil;
   time_point mLaggingUntil;
@@ -59,6 +70,9 @@
   placement_need mNeed;
   /// 0 goes first.
   std::uint32_t mPriority = 0;
+  time_point mReceivedAt;
+  /// If it is lent a connection by then, its answer is in time for the caller.
+  time_point mPromptUntil;
   time_point mDeadline;
 };
 
@@ -68,6 +82,7 @@
   event_loop& mLoop;
   const statement_codec& mCodec;
   const session_settings& mSettings;
+  session_metrics& mMetrics;
   std::string mProxy;
   std::string mZone;
   /// Proxies that share the instances' connections, this one included.
@@ -157,6 +172,8 @@
   {
     const loan_request* mRequest = nullptr;
     fiber_wait* mWait = nullptr;
+    /// It was woken and has not run yet.
+    bool mIsWoken = false;
   };
 
   void MarkGone(upstream_instance& aInstance);
@@ -172,9 +189,17 @@
   std::uint32_t UsualShare() const;
   std::unique_ptr<statement_connection> TakeIdle(upstream_instance& aInstance,
                                                  const session_state& aSession);
-  result<connection_loan> OpenNew(std::shared_ptr<upstream_instance> aInstance,
-                                  time_point aDeadline);
+  /// Opens a connection in a fiber of its own, for whoever waits first: a slow
+  /// opening holds up no statement that another connection could serve.
+  void StartOpening(std::shared_ptr<upstream_instance> aInstance);
+  void OpenNew(const std::shared_ptr<upstream_instance>& aInstance);
+  /// A connection could not be opened: learns why, and when to try again.
+  void NoteNotOpened(upstream_instance& aInstance,
+                     const statement_reply& aReply);
+  void NoteAnswered(upstream_instance& aInstance);
   void AwaitTurn(const loan_request& aRequest, time_point aUntil);
+  /// Wakes the statement that may use the instance and has most to gain: one
+  /// that can still be in time goes before one that is late.
   void WakeNext(const upstream_instance& aInstance);
   void LearnFrom(upstream_instance& aInstance,
                  const statement_reply& aReply,
--- a/Tests/Decisions/clInstanceSelectorTest.cxx
+++ b/Tests/Decisions/clInstanceSelectorTest.cxx
@@ -111,3 +111,17 @@
   mCandidates[0].mDraining = true;
   CHECK(Select().mEnd == placement_end::Chosen);
 }
+
+TEST_CASE_FIXTURE(selector_fixture, "read_avoids_an_instance_without_room")
+{
+  mCandidates[1].mHasRoom = false;
+  CHECK(Select().mInstance == 2);
+}
+
+TEST_CASE_FIXTURE(selector_fixture, "read_waits_where_no_instance_has_room")
+{
+  for (instance_candidate& candidate : mCandidates) {
+    candidate.mHasRoom = false;
+  }
+  CHECK(Select().mEnd == placement_end::AllBusy);
+}
