failover, store: wait for a silent leader less, call an absent store less

Now one follower probes, the others wait for its success and 600 ms at most. Also: event_loop::RunAll replaces three copies of "a fiber for each, wait for all"; the questions after a promotion go out at the same time. Ruled out: watches (10 s each, 0.3 calls a second and VM).

--- a/Source/Runtime/clEventLoop.cxx
+++ b/Source/Runtime/clEventLoop.cxx
@@ -93,6 +93,25 @@
     .detach();
 }
 
+void
+event_loop::RunAll(const std::vector<std::function<void()>>& aJobs)
+{
+  std::size_t open = aJobs.size();
+  fiber_wait ended;
+  for (const auto& job : aJobs) {
+    Spawn([&job, &open, &ended] {
+      job();
+      --open;
+      if (open == 0) {
+        ended.Notify();
+      }
+    });
+  }
+  if (open > 0) {
+    ended.Wait();
+  }
+}
+
 void
 event_loop::Sleep(nanoseconds aTime)
 {
--- a/Source/Runtime/clEventLoop.h
+++ b/Source/Runtime/clEventLoop.h
@@ -8,6 +8,7 @@
 #include <boost/fiber/fss.hpp>
 #include <boost/fiber/pooled_fixedsize_stack.hpp>
 #include <functional>
+#include <vector>
 
 namespace catkinloom {
 
@@ -36,6 +37,10 @@
   /// Starts a fiber; it runs when the loop next yields.
   void Spawn(std::function<void()> aJob);
 
+  /// Runs each job in a fiber of its own and suspends the calling fiber until
+  /// all have ended.
+  void RunAll(const std::vector<std::function<void()>>& aJobs);
+
   /// Suspends the calling fiber.
   void Sleep(nanoseconds aTime);
 
--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -41,6 +41,16 @@
   return instance_order::Status;
 }
 
+std::vector<std::shared_ptr<upstream_instance>>
+OthersThan(const upstream_group& aGroup, const std::string& aId)
+{
+  auto others = aGroup.Instances();
+  std::erase_if(others, [&aId](const auto& aInstance) {
+    return aInstance->mEntry.mId == aId;
+  });
+  return others;
+}
+
 failover_member&
 MemberOf(std::vector<failover_member>& aMembers, const std::string& aId)
 {
@@ -195,16 +205,11 @@
   if (!own || !own.value().mLeads) {
     return false;
   }
-  for (const auto& other : aGroup.Instances()) {
-    if (other == leader) {
-      continue;
-    }
-    const auto status = aGroup.Order(*other, instance_order::Status, 0);
-    if (status && status.value().mReceived >= own.value().mReceived) {
-      return true;
-    }
-  }
-  return false;
+  const auto others = OthersThan(aGroup, leader->mEntry.mId);
+  const auto answers = aGroup.OrderEach(others, AskStatus, 0);
+  return std::any_of(answers.begin(), answers.end(), [&own](const auto& aAnswer) {
+    return aAnswer && aAnswer.value().mReceived >= own.value().mReceived;
+  });
 }
 
 bool
@@ -299,9 +304,12 @@
       return false;
     }
     // A leader that still answers must not go on with instances that this
-    // proxy does not know yet.
-    StepPrimaryDown(now);
-    if (!EndPermits(now)) {
+    // proxy does not know yet.  A silent one is not waited for before the
+    // permits are ended.
+    bool isEnded = false;
+    mContext.mLoop.RunAll(
+      { [&] { StepPrimaryDown(now); }, [&] { isEnded = EndPermits(now); } });
+    if (!isEnded) {
       return false;
     }
     const auto chosen = ChooseFor(now);
@@ -639,18 +647,18 @@
 failover_runner::ResumeOthers(attempt& aAttempt, const std::string& aLeader)
 {
   upstream_group& group = aAttempt.mGroup;
-  for (const auto& instance : group.Instances()) {
-    if (instance->mEntry.mId == aLeader) {
-      continue;
-    }
-    const auto status = group.Order(*instance, instance_order::Status, 0);
-    if (status && status.value().mHeldTerm > status.value().mTerm) {
-      const auto resumed = group.Order(*instance, instance_order::Resume, 0);
+  const auto others = OthersThan(group, aLeader);
+  const auto answers = group.OrderEach(others, AskStatus, 0);
+  for (std::size_t i = 0; i < others.size(); ++i) {
+    const bool isHeld =
+      answers[i] && answers[i].value().mHeldTerm > answers[i].value().mTerm;
+    if (isHeld) {
+      const auto resumed = group.Order(*others[i], instance_order::Resume, 0);
       Log(log_level::Info,
           "failover",
           "Instance told to receive again. service={} instance={} done={}",
           group.Service(),
-          instance->mEntry.mId,
+          others[i]->mEntry.mId,
           bool(resumed));
     }
   }
--- a/Source/Sessions/clLeadershipPermit.cxx
+++ b/Source/Sessions/clLeadershipPermit.cxx
@@ -83,23 +83,14 @@
   BOOST_OUTCOME_TRY(const store_listing permits,
                     store.List(std::string(store_keys::kPermits),
                                aContext.mSettings.mStoreTimeout));
-  std::size_t open = permits.mItems.size();
   std::size_t failed = 0;
-  fiber_wait ended;
+  std::vector<std::function<void()>> jobs;
   for (const store_item& permit : permits.mItems) {
-    const store_lease lease = LeaseOf(permit);
-    aContext.mLoop.Spawn([&, lease] {
-      const auto done = store.EndLease(lease);
-      failed += done ? 0 : 1;
-      --open;
-      if (open == 0) {
-        ended.Notify();
-      }
+    jobs.emplace_back([&, lease = LeaseOf(permit)] {
+      failed += store.EndLease(lease) ? 0 : 1;
     });
   }
-  if (open > 0) {
-    ended.Wait();
-  }
+  aContext.mLoop.RunAll(jobs);
   if (failed > 0) {
     return error{ error_kind::PlatformUnavailable,
                   std::to_string(failed) + " permits may still stand" };
--- a/Source/Sessions/clSessionContext.h
+++ b/Source/Sessions/clSessionContext.h
@@ -7,6 +7,7 @@
 #include "clSessionMetrics.h"
 #include "clUpstreamGroup.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -43,6 +44,7 @@
                   std::move(aZone),
                   1 }
     , mDesiredKnown(aLoop)
+    , mStoreReached(aLoop)
   {
   }
 
@@ -59,6 +61,17 @@
     return *group;
   }
 
+  /// Suspends the calling fiber after a failed call to the store: until another
+  /// call was answered, and aLongest at most.
+  void AwaitStore(nanoseconds aLongest)
+  {
+    if (mStoreReachedSince) {
+      mLoop.Sleep(std::min<nanoseconds>(aLongest, mSettings.mStoreRetryPause));
+      return;
+    }
+    mStoreReached.WaitUntil(Now() + aLongest);
+  }
+
   event_loop& mLoop;
   session_ports mPorts;
   const session_settings mSettings;
@@ -74,6 +87,8 @@
   /// Since when the store has answered without a break; empty while it does
   /// not.
   std::optional<time_point> mStoreReachedSince;
+  /// Raised when the store answers again.
+  fiber_signal mStoreReached;
   bool mDraining = false;
 };
 
--- a/Source/Sessions/clSessionSettings.h
+++ b/Source/Sessions/clSessionSettings.h
@@ -63,6 +63,9 @@
   milliseconds mListInterval{ 60000 };
   /// Pause after a failed call to the store.
   milliseconds mStoreRetryPause{ 150 };
+  /// The same where nothing is served sooner by asking again.  Source: a change
+  /// must be in force 3 s after the store is back; every call is paid for.
+  milliseconds mStoreLongPause{ 600 };
   /// Life of this proxy's registration without renewal.
   milliseconds mRegistrationLifetime{ 6000 };
   milliseconds mRegistrationRenewal{ 2000 };
--- a/Source/Sessions/clStateKeeper.cxx
+++ b/Source/Sessions/clStateKeeper.cxx
@@ -36,6 +36,7 @@
   , mOperator(
       aContext,
       std::string(aContext.mPorts.mDirectory.OperatorPrefix()),
+      store_retry::Probing,
       [this](const store_listing& aListing) {
         for (const store_item& item : aListing.mItems) {
           ApplyOperatorItem(item);
@@ -54,6 +55,7 @@
   , mDirectory(
       aContext,
       std::string(aContext.mPorts.mDirectory.InstancePrefix()),
+      store_retry::Waiting,
       [this](const store_listing& aListing) {
         mInstances.clear();
         for (const store_item& item : aListing.mItems) {
@@ -73,6 +75,7 @@
   , mOwn(
       aContext,
       std::string(store_keys::kOwn),
+      store_retry::Waiting,
       [this](const store_listing& aListing) {
         for (auto& [name, proxy] : mProxies) {
           proxy.mIsRegistered = false;
@@ -127,6 +130,9 @@
       "Store {}. cause={}",
       aIsReached ? "reached" : "lost",
       aCause);
+  if (aIsReached) {
+    mContext.mStoreReached.Raise();
+  }
 }
 
 void
@@ -283,9 +289,13 @@
 void
 state_keeper::RefreshLeadership()
 {
-  if (mRefreshing) {
+  // While the store is out the groups themselves are asked instead.
+  const bool isTooSoon =
+    !mStoreReached && mContext.Now() < mRefreshedAt + mContext.mSettings.mStoreLongPause;
+  if (mRefreshing || isTooSoon) {
     return;
   }
+  mRefreshedAt = mContext.Now();
   mRefreshing = true;
   mContext.mLoop.Spawn([this] {
     TakeLeadership();
@@ -390,8 +400,11 @@
       }
     }
     const bool done = (kept && IsRegistered()) || Register();
-    mContext.mLoop.Sleep(done ? settings.mRegistrationRenewal
-                              : settings.mStoreRetryPause * 2);
+    if (done) {
+      mContext.mLoop.Sleep(settings.mRegistrationRenewal);
+    } else {
+      mContext.AwaitStore(settings.mStoreLongPause);
+    }
   }
 }
 
--- a/Source/Sessions/clStateKeeper.h
+++ b/Source/Sessions/clStateKeeper.h
@@ -65,6 +65,7 @@
   std::map<std::string, proxy_presence> mProxies;
   bool mStoreReached = false;
   bool mRefreshing = false;
+  time_point mRefreshedAt;
   store_lease mLease = 0;
 };
 
--- a/Source/Sessions/clStoreFollower.cxx
+++ b/Source/Sessions/clStoreFollower.cxx
@@ -4,13 +4,23 @@
 
 namespace catkinloom {
 
+namespace {
+
+/// Failed calls after which a follower that has a picture to go on with asks
+/// less often.  Source: most outages are shorter than a second.
+constexpr std::uint32_t kQuickProbes = 6;
+
+} // namespace
+
 store_follower::store_follower(session_context& aContext,
                                std::string aPrefix,
+                               store_retry aRetry,
                                list_handler aOnList,
                                change_handler aOnChange,
                                reach_handler aOnReach)
   : mContext(aContext)
   , mPrefix(std::move(aPrefix))
+  , mRetry(aRetry)
   , mOnList(std::move(aOnList))
   , mOnChange(std::move(aOnChange))
   , mOnReach(std::move(aOnReach))
@@ -22,7 +32,7 @@
 {
   while (true) {
     if (!List()) {
-      mContext.mLoop.Sleep(mContext.mSettings.mStoreRetryPause);
+      PauseAfterFailure();
       continue;
     }
     while (Watch()) {
@@ -30,6 +40,19 @@
   }
 }
 
+void
+store_follower::PauseAfterFailure()
+{
+  const session_settings& settings = mContext.mSettings;
+  ++mFailures;
+  const bool isQuick = !mHasListed || mFailures <= kQuickProbes;
+  if (mRetry == store_retry::Probing && isQuick) {
+    mContext.mLoop.Sleep(settings.mStoreRetryPause);
+    return;
+  }
+  mContext.AwaitStore(settings.mStoreLongPause);
+}
+
 bool
 store_follower::List()
 {
@@ -40,6 +63,7 @@
   if (!listing) {
     return false;
   }
+  mFailures = 0;
   mOnList(listing.value());
   mWatchFrom = listing.value().mAsOf;
   mListedAt = sentAt;
@@ -60,7 +84,7 @@
   const auto changes = mContext.mPorts.mStore.Watch(mPrefix, mWatchFrom, wait);
   mOnReach(bool(changes), changes ? "" : changes.error().mDetail);
   if (!changes) {
-    mContext.mLoop.Sleep(settings.mStoreRetryPause);
+    PauseAfterFailure();
     return false;
   }
   if (changes.value().mHistoryLost) {
--- a/Source/Sessions/clStoreFollower.h
+++ b/Source/Sessions/clStoreFollower.h
@@ -7,6 +7,15 @@
 
 namespace catkinloom {
 
+/// What a follower does while the store does not answer.
+enum class store_retry
+{
+  /// Asks again and again, so that the store's return is noticed at once.
+  Probing,
+  /// Waits until another call was answered; each call is paid for.
+  Waiting,
+};
+
 /// Follows every key under one prefix of the coordination store.
 ///
 /// It lists the keys once and then watches; it lists anew when the store says
@@ -24,6 +33,7 @@
 
   store_follower(session_context& aContext,
                  std::string aPrefix,
+                 store_retry aRetry,
                  list_handler aOnList,
                  change_handler aOnChange,
                  reach_handler aOnReach);
@@ -37,9 +47,12 @@
 private:
   bool List();
   bool Watch();
+  void PauseAfterFailure();
 
   session_context& mContext;
   std::string mPrefix;
+  store_retry mRetry;
+  std::uint32_t mFailures = 0;
   list_handler mOnList;
   change_handler mOnChange;
   reach_handler mOnReach;
--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -552,20 +552,13 @@
     aInstances.size(),
     result<instance_status>(
       error{ error_kind::UpstreamUnreachable, "no answer" }));
-  std::size_t open = aInstances.size();
-  fiber_wait ended;
+  std::vector<std::function<void()>> jobs;
   for (std::size_t i = 0; i < aInstances.size(); ++i) {
-    mEnvironment.mLoop.Spawn([&, i] {
+    jobs.emplace_back([&, i] {
       answers[i] = Order(*aInstances[i], aOrder(*aInstances[i]), aTerm);
-      --open;
-      if (open == 0) {
-        ended.Notify();
-      }
     });
   }
-  if (open > 0) {
-    ended.Wait();
-  }
+  mEnvironment.mLoop.RunAll(jobs);
   return answers;
 }
 
