tests: a randomized fault soak of session proxies as real processes

Signals to proxies, relays on the loopback address before callers, instances and the store, and the stand-in's own troubles, in series and overlapping; checked against what callers were told and the surviving log. The stand-in no longer answers READONLY, a promise, for a commit that may have reached a replica when the lead was lost.

--- a/StandIns/fleet_stand_in.py
+++ b/StandIns/fleet_stand_in.py
@@ -124,8 +124,9 @@
         self.runs = []
         self.writers = set()
         self.address = None
+        #: Address that it registers; its own when empty.
+        self.advertised = None
         self.server = None
-        self.refuse_after_accept = False
 
     def position(self):
         return f"{self.log[-1][0]}.{self.log[-1][1]}" if self.log else \
@@ -148,7 +149,8 @@
         await self.register()
 
     async def register(self):
-        entry = {"service": SERVICE, "address": self.address,
+        entry = {"service": SERVICE,
+                 "address": self.advertised or self.address,
                  "zone": self.zone, "slots": 3,
                  "state": "draining" if self.draining else "ready",
                  "db_role": "primary" if self.leads else "replica",
@@ -157,15 +159,19 @@
                                      json.dumps(entry).encode())
 
     async def commit(self, writes):
-        """Appends and returns True once a replica has received it."""
+        """Appends and returns True once a replica has received it.
+
+        A commit that was under way when the lead was lost gets no answer: a
+        replica may have it or not.
+        """
         index = self.log[-1][1] + 1 if self.log else 1
         entry = (self.term, index, writes)
         self.log.append(entry)
         await asyncio.sleep(REPLICATION_S + self.commit_delay_s)
         confirmed = False
         while not confirmed:
-            if not self.leads or self.mode != "up":
-                return False
+            if not self.leads or self.mode != "up" or self.term != entry[0]:
+                raise ConnectionAbortedError("lead lost during a commit")
             for other in self.fleet.instances.values():
                 if other is not self and other.receive(self):
                     confirmed = True
@@ -287,6 +293,13 @@
                f"0 0 {len(self.writers)}\r\nCOMPLETE -\r\n" + \
             self.ready(state)
 
+    async def revive(self):
+        """Comes back at its address with its log."""
+        host, port = self.address.rsplit(":", 1)
+        self.mode, self.draining = "up", False
+        self.server = await asyncio.start_server(self.serve, host, int(port))
+        await self.register()
+
     async def crash(self):
         """Connections reset; nothing listens."""
         self.mode = "down"
--- /dev/null
+++ b/StandIns/loopback_relay.py
@@ -0,0 +1,75 @@
+"""A TCP relay on the loopback address that misbehaves on request.
+
+Stands between a test's processes so that their connections can be delayed,
+reset, or silenced in one or both directions without their help.
+"""
+
+import asyncio
+
+#: Directions of a relay: from who connected, and back.
+FORTH, BACK = "forth", "back"
+
+
+class Relay:
+    """Relays connections to one address; runs in the given event loop."""
+
+    def __init__(self, target):
+        self.target = target
+        self.delay_s = 0.0
+        #: Directions in which nothing passes; bytes wait until it ends.
+        self.silent = set()
+        self.refusing = False
+        self.writers = set()
+        self.address = None
+        self.server = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % \
+            self.server.sockets[0].getsockname()[1]
+        return self
+
+    def reset(self):
+        """Resets every open connection."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def heal(self):
+        self.delay_s, self.refusing = 0.0, False
+        self.silent.clear()
+
+    async def serve(self, reader, writer):
+        if self.refusing:
+            writer.transport.abort()
+            return
+        host, port = self.target.rsplit(":", 1)
+        try:
+            there, back = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        try:
+            await asyncio.gather(self.pump(reader, back, FORTH),
+                                 self.pump(there, writer, BACK))
+        except asyncio.CancelledError:
+            # The test ends; an error from here would only clutter its output.
+            pass
+
+    async def pump(self, reader, writer, direction):
+        self.writers.add(writer)
+        try:
+            while True:
+                data = await reader.read(65536)
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                while direction in self.silent:
+                    await asyncio.sleep(0.02)
+                if not data:
+                    break
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
--- a/Tests/Processes/fleet_case.py
+++ b/Tests/Processes/fleet_case.py
@@ -29,7 +29,7 @@
 class Proxy:
     """One session proxy process."""
 
-    def __init__(self, name, zone, fleet, folder):
+    def __init__(self, name, zone, store, folder):
         self.name = name
         self.callers, self.ready, self.metrics = (free_port()
                                                   for _ in range(3))
@@ -39,8 +39,8 @@
             f"  callers: 127.0.0.1:{self.callers}\n"
             f"  ready: 127.0.0.1:{self.ready}\n"
             f"  metrics: 127.0.0.1:{self.metrics}\n"
-            f"store:\n  address: {fleet.store_address}\n"
-            f"promotions:\n  address: {fleet.store_address}\n")
+            f"store:\n  address: {store}\n"
+            f"promotions:\n  address: {store}\n")
         self.log = folder / f"{name}.log"
         self.process = None
 
@@ -141,7 +141,8 @@
         self.addCleanup(self.fleet.stop)
         self.fleet.declare(2, ROUTES)
         self.proxies = [
-            Proxy(name, zone, self.fleet, pathlib.Path(self.folder.name))
+            Proxy(name, zone, self.fleet.store_address,
+                  pathlib.Path(self.folder.name))
             for name, zone in self.PROXIES]
         for proxy in self.proxies:
             proxy.start()
--- /dev/null
+++ b/Tests/Processes/soak_sessions.py
@@ -0,0 +1,464 @@
+"""A randomized soak of session proxies as real processes.
+
+Faults are injected from outside: signals to proxies, relays on the loopback
+address before callers, instances and the store, and the stand-in's own
+troubles.  While it runs, callers check what they are told; afterwards the
+surviving log is compared with it:
+
+- an acknowledged write is in the log, once;
+- a write refused with a code that promises it was not kept is not in it;
+- a session reads its own writes; a current read is never stale;
+- the two writes of a transaction are seen together;
+- within RECOVERY_S of the last fault every proxy serves writes.
+
+Usage: soak_sessions.py [--seconds S] [--proxies N] [--keep DIR] SEED [SEED ...]
+"""
+
+import argparse
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import threading
+import time
+
+from fleet_case import Caller, Fleet, Proxy, ROUTES, wait_until
+from loopback_relay import BACK, FORTH, Relay
+
+#: Seconds from the end of the last fault until every proxy must serve.
+#: Source: the deployments' recovery bound.
+RECOVERY_S = 12
+#: Codes that promise that nothing of the attempt is kept.
+NOT_KEPT = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT",
+            "NOSUCHDB", "MALFORMED")
+#: Seconds that a caller waits for an answer.
+PATIENCE_S = 4
+
+
+class Ledger:
+    """What callers were told, and what they saw that must not be."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.acknowledged, self.refused = set(), set()
+        self.unknown, self.broken = set(), []
+        self.reads = 0
+
+    def note(self, value, lines):
+        """Files the answer to a write or commit of a value."""
+        last = lines[-1] if lines else ""
+        with self.lock:
+            if last.startswith("COMPLETE i-"):
+                self.acknowledged.add(value)
+                return True
+            is_refused = last.startswith("ERROR ") and \
+                last.split(" ")[1] in NOT_KEPT
+            (self.refused if is_refused else self.unknown).add(value)
+        return False
+
+    def blame(self, text):
+        with self.lock:
+            self.broken.append(text)
+
+
+class Desk(threading.Thread):
+    """One caller with an item of its own, so that values of it only rise."""
+
+    def __init__(self, number, soak):
+        super().__init__(daemon=True)
+        self.number, self.soak = number, soak
+        self.random = random.Random(f"{soak.seed}-{number}")
+        self.written, self.reads = 0, 0
+        #: Newest value known to be acknowledged.
+        self.floor = -1
+
+    def run(self):
+        while not self.soak.stopping:
+            try:
+                self.session()
+            except OSError:
+                time.sleep(0.05)
+
+    def session(self):
+        database = self.random.choice(("current", "own"))
+        caller = Caller(self.soak.any_proxy(self.random), database,
+                        timeout=PATIENCE_S)
+        try:
+            if not caller.opening.startswith("READY"):
+                return
+            # A session of its own writes starts without any.
+            floor = self.floor if database == "current" else -1
+            for _ in range(self.random.randint(1, 40)):
+                if self.soak.stopping:
+                    return
+                floor = self.operation(caller, database, floor)
+                time.sleep(self.random.uniform(0, 0.03))
+        finally:
+            caller.close()
+
+    def operation(self, caller, database, floor):
+        step = self.random.random()
+        if step < 0.3:
+            return max(floor, self.write(caller))
+        if step < 0.45:
+            return max(floor, self.transaction(caller))
+        self.read(caller, database,
+                  self.floor if database == "current" else floor)
+        return floor
+
+    def value(self):
+        self.written += 1
+        return f"{self.number}-{self.written}"
+
+    def ask(self, caller, text, name=None):
+        lines, ready = caller.ask(text, name)
+        if not ready:
+            raise ConnectionError("session ended")
+        return lines
+
+    def write(self, caller):
+        value = self.value()
+        lines = []
+        try:
+            lines, ready = caller.ask(f"WRITE item{self.number} {value}")
+        finally:
+            kept = self.soak.ledger.note(value, lines)
+        if not ready:
+            raise ConnectionError("session ended")
+        if kept:
+            self.floor = self.written
+        return self.written if kept else -1
+
+    def transaction(self, caller):
+        value = self.value()
+        if not self.ask(caller, "BEGIN")[-1].startswith("COMPLETE"):
+            return -1
+        for item in (f"item{self.number}", f"twin{self.number}"):
+            if not self.ask(caller, f"WRITE {item} {value}")[-1].startswith(
+                    "COMPLETE"):
+                self.ask(caller, "ROLLBACK")
+                self.soak.ledger.refused.add(value)
+                return -1
+        if self.random.random() < 0.2:
+            self.ask(caller, "ROLLBACK")
+            self.soak.ledger.refused.add(value)
+            return -1
+        lines = []
+        try:
+            lines, ready = caller.ask("COMMIT")
+        finally:
+            kept = self.soak.ledger.note(value, lines)
+        if not ready:
+            raise ConnectionError("session ended")
+        if kept:
+            self.floor = self.written
+        return self.written if kept else -1
+
+    def read(self, caller, database, floor):
+        self.reads += 1
+        name = f"d{self.number}r{self.reads}"
+        lines = self.ask(caller, f"READ item{self.number}", name)
+        if not lines[0].startswith("DATAROW"):
+            return
+        self.soak.ledger.reads += 1
+        seen = lines[0].split(" ", 1)[1]
+        index = -1 if seen == "-" else int(seen.split("-")[1])
+        if index < floor:
+            self.soak.ledger.blame(
+                f"{time.strftime('%H:%M:%S')} {database} read {name} of desk "
+                f"{self.number} gave {seen}, {floor} was acknowledged")
+
+
+class Soak:
+    """One seeded run."""
+
+    def __init__(self, seed, seconds, proxies, folder):
+        self.seed, self.seconds = seed, seconds
+        self.random = random.Random(seed)
+        self.ledger = Ledger()
+        self.stopping = False
+        self.version = 2
+        #: Instances that a fault has hold of; one at a time.
+        self.troubled = None
+        self.fleet = Fleet()
+        self.relays = []
+        for instance in self.fleet.instances.values():
+            instance.advertised = self.relay(instance.address).address
+            self.fleet.run(instance.register())
+        self.fleet.declare(self.version, ROUTES)
+        self.stores = [self.relay(self.fleet.store_address)
+                       for _ in range(proxies)]
+        self.proxies = [Proxy(f"p-{n + 1}", "abc"[n % 3],
+                              self.stores[n].address, folder)
+                        for n in range(proxies)]
+        self.fronts = []
+        for proxy in self.proxies:
+            proxy.start()
+            front = self.relay(f"127.0.0.1:{proxy.callers}")
+            self.fronts.append(front)
+        self.faults = (
+            (3, self.kill), (2, self.freeze), (2, self.stop_and_start),
+            (1, self.reload), (2, self.kill_all), (2, self.store_out),
+            (2, self.store_out_for_one), (1, self.store_loses_answers),
+            (2, self.network), (2, self.crash_instance),
+            (2, self.darken_instance), (2, self.cut_instance),
+            (1, self.lose_answers), (1, self.hand_over),
+            (2, self.change_version), (1, self.lose_promotion))
+
+    def relay(self, target):
+        relay = self.fleet.run(Relay(target).start())
+        self.relays.append(relay)
+        return relay
+
+    def any_proxy(self, chooser):
+        """A caller's way to a proxy; looks like a proxy to Caller."""
+        front = chooser.choice(self.fronts)
+
+        class Door:
+            callers = int(front.address.rsplit(":", 1)[1])
+        return Door
+
+    def later(self, seconds, work, *arguments):
+        timer = threading.Timer(seconds, work, arguments)
+        timer.daemon = True
+        timer.start()
+        self.timers.append(timer)
+
+    # Faults; each ends by itself.
+
+    def kill(self):
+        proxy = self.random.choice(self.proxies)
+        self.restart(proxy, self.random.uniform(0.1, 1.0))
+
+    def kill_all(self):
+        pause = self.random.uniform(0.1, 0.8)
+        for proxy in self.proxies:
+            self.restart(proxy, pause)
+
+    def restart(self, proxy, pause):
+        proxy.stop()
+        self.later(pause, self.start_again, proxy)
+
+    def start_again(self, proxy):
+        if proxy.process.poll() is not None:
+            proxy.start()
+
+    def freeze(self):
+        proxy = self.random.choice(self.proxies)
+        process = proxy.process
+        if process.poll() is None:
+            process.send_signal(signal.SIGSTOP)
+            self.later(self.random.uniform(0.3, 3.0), process.send_signal,
+                       signal.SIGCONT)
+
+    def stop_and_start(self):
+        proxy = self.random.choice(self.proxies)
+        if proxy.process.poll() is None:
+            proxy.process.send_signal(signal.SIGTERM)
+            self.later(6.0, self.restart, proxy, 0.1)
+
+    def reload(self):
+        proxy = self.random.choice(self.proxies)
+        if proxy.process.poll() is None:
+            proxy.process.send_signal(signal.SIGHUP)
+
+    def store_out(self):
+        self.fleet.store.mode = self.random.choice(("busy", "silent"))
+        self.later(self.random.uniform(0.3, 4.0), setattr, self.fleet.store,
+                   "mode", "up")
+
+    def store_out_for_one(self):
+        relay = self.random.choice(self.stores)
+        self.trouble_relay(relay)
+
+    def store_loses_answers(self):
+        self.fleet.store.lose_answers += self.random.randint(1, 3)
+
+    def network(self):
+        self.trouble_relay(self.random.choice(self.relays))
+
+    def trouble_relay(self, relay):
+        kind = self.random.choice(("delay", "reset", "silent", "one way",
+                                   "refuse"))
+        if kind == "delay":
+            relay.delay_s = self.random.uniform(0.01, 0.3)
+        elif kind == "silent":
+            relay.silent.update((FORTH, BACK))
+        elif kind == "one way":
+            relay.silent.add(self.random.choice((FORTH, BACK)))
+        else:
+            relay.refusing = kind == "refuse"
+            self.fleet.loop.call_soon_threadsafe(relay.reset)
+        self.later(self.random.uniform(0.3, 3.0), relay.heal)
+
+    def take_instance(self):
+        if self.troubled is None:
+            leader = self.fleet.leader()
+            self.troubled = leader if leader and self.random.random() < 0.6 \
+                else self.random.choice(list(self.fleet.instances.values()))
+            return self.troubled
+        return None
+
+    def release_instance(self, work):
+        work()
+        self.troubled = None
+
+    def crash_instance(self):
+        instance = self.take_instance()
+        if instance:
+            self.fleet.run(instance.crash())
+            self.later(self.random.uniform(0.5, 4.0), self.release_instance,
+                       lambda: self.fleet.run(instance.revive()))
+
+    def darken_instance(self):
+        instance = self.take_instance()
+        if instance:
+            instance.mode = "dark"
+            self.later(self.random.uniform(0.5, 4.0), self.release_instance,
+                       lambda: setattr(instance, "mode", "up"))
+
+    def cut_instance(self):
+        instance = self.take_instance()
+        if instance:
+            instance.cut_from_group = True
+            self.later(self.random.uniform(0.5, 4.0), self.release_instance,
+                       lambda: setattr(instance, "cut_from_group", False))
+
+    def hand_over(self):
+        instance = self.take_instance()
+        if instance:
+            instance.draining = True
+            self.fleet.run(instance.register())
+
+            def stay():
+                instance.draining = False
+                self.fleet.run(instance.register())
+            self.later(self.random.uniform(2.0, 4.0), self.release_instance,
+                       stay)
+
+    def lose_answers(self):
+        leader = self.fleet.leader()
+        if leader:
+            leader.lose_answers += self.random.randint(1, 3)
+
+    def lose_promotion(self):
+        self.fleet.lose_promotions += 1
+
+    def change_version(self):
+        self.version += self.random.randint(1, 3)
+        self.fleet.declare(self.version, ROUTES,
+                           timeout_ms=self.random.choice((800, 1000, 1500)))
+
+    # The run.
+
+    def run(self):
+        self.timers = []
+        weighted = [work for weight, work in self.faults
+                    for _ in range(weight)]
+        desks = [Desk(number, self) for number in range(8)]
+        for proxy in self.proxies:
+            wait_until(proxy.is_ready)
+        for desk in desks:
+            desk.start()
+        begun = time.monotonic()
+        while time.monotonic() < begun + self.seconds:
+            time.sleep(self.random.uniform(0.1, 1.2))
+            work = self.random.choice(weighted)
+            print(f"{time.monotonic() - begun:7.2f} {work.__name__}",
+                  flush=True)
+            work()
+        for timer in list(self.timers):
+            timer.join()
+        # A restart that a timer asked for has a timer of its own.
+        for timer in list(self.timers):
+            timer.join()
+        self.recover()
+        self.stopping = True
+        for desk in desks:
+            desk.join(PATIENCE_S * 4)
+        self.compare()
+
+    def recover(self):
+        self.fleet.store.mode, self.fleet.store.lose_answers = "up", 0
+        self.fleet.lose_promotions = 0
+        for relay in self.relays:
+            relay.heal()
+        for number, proxy in enumerate(self.proxies):
+            desk = Desk(100 + number, self)
+
+            def served(proxy=proxy, desk=desk):
+                try:
+                    caller = Caller(proxy, "current", timeout=PATIENCE_S)
+                    done = desk.write(caller) >= 0
+                    caller.close()
+                    return done
+                except OSError:
+                    return False
+            try:
+                wait_until(served, RECOVERY_S)
+            except AssertionError:
+                self.ledger.blame(f"{proxy.name} serves no write "
+                                  f"{RECOVERY_S} s after the last fault")
+
+    def compare(self):
+        log = [value for _, _, writes in self.fleet.leader().log
+               for item, value in writes if item.startswith("item")]
+        for value in sorted(self.ledger.acknowledged):
+            if log.count(value) != 1:
+                self.ledger.blame(f"acknowledged write {value} is in the log "
+                                  f"{log.count(value)} times")
+        for value in sorted(self.ledger.refused & set(log)):
+            self.ledger.blame(f"refused write {value} is in the log")
+        for value in sorted(self.ledger.unknown):
+            if log.count(value) > 1:
+                self.ledger.blame(f"write {value} is in the log twice")
+        if not self.ledger.acknowledged or not self.ledger.reads:
+            self.ledger.blame("nothing was served")
+
+    def stop(self):
+        self.stopping = True
+        for timer in self.timers:
+            timer.cancel()
+        for proxy in self.proxies:
+            proxy.stop()
+        self.fleet.stop()
+
+
+def play(seed, seconds, proxies, keep):
+    """Plays one seed; returns what was broken."""
+    with tempfile.TemporaryDirectory() as folder:
+        soak = Soak(seed, seconds, proxies, pathlib.Path(folder))
+        try:
+            soak.run()
+        finally:
+            soak.stop()
+            if keep:
+                shutil.copytree(folder, pathlib.Path(keep) / str(seed),
+                                dirs_exist_ok=True)
+        ledger = soak.ledger
+        print(f"seed {seed}: {len(ledger.acknowledged)} writes acknowledged, "
+              f"{len(ledger.refused)} refused, {len(ledger.unknown)} unknown, "
+              f"{ledger.reads} reads, {len(soak.fleet.promotions)} promotions,"
+              f" {len(ledger.broken)} broken", flush=True)
+        for text in ledger.broken[:20]:
+            print("  broken:", text, flush=True)
+        return ledger.broken
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("seeds", nargs="+", type=int)
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--proxies", type=int, default=3)
+    parser.add_argument("--keep", help="folder for the proxies' logs")
+    options = parser.parse_args()
+    broken = [seed for seed in options.seeds
+              if play(seed, options.seconds, options.proxies, options.keep)]
+    print(f"{len(options.seeds) - len(broken)} passed, {len(broken)} failed")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
