--- a/Source/Daemon/clDaemonMetrics.cxx
+++ b/Source/Daemon/clDaemonMetrics.cxx
@@ -1,6 +1,6 @@
 #include "clDaemonMetrics.h"
 
-#include <prometheus/text_serializer.h>
+#include "clMetricFamilies.h"
 
 namespace catkinloom {
 
@@ -10,52 +10,22 @@
   0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10
 };
 
-prometheus::Family<prometheus::Counter>&
-Counters(prometheus::Registry& aRegistry,
-         const std::string& aName,
-         const std::string& aHelp)
-{
-  return prometheus::BuildCounter().Name(aName).Help(aHelp).Register(aRegistry);
-}
-
-prometheus::Counter&
-Counter(prometheus::Registry& aRegistry,
-        const std::string& aName,
-        const std::string& aHelp,
-        const prometheus::Labels& aLabels = {})
-{
-  // Registering a family twice returns the one that is there.
-  return Counters(aRegistry, aName, aHelp).Add(aLabels);
-}
-
-prometheus::Gauge&
-Gauge(prometheus::Registry& aRegistry,
-      const std::string& aName,
-      const std::string& aHelp)
-{
-  return prometheus::BuildGauge()
-    .Name(aName)
-    .Help(aHelp)
-    .Register(aRegistry)
-    .Add({});
-}
-
 prometheus::Counter&
 Outcome(prometheus::Registry& aRegistry, const std::string& aOutcome)
 {
-  return Counter(aRegistry,
-                 "catkinloom_requests_total",
-                 "Requests of callers by outcome.",
-                 { { "outcome", aOutcome } });
+  return AddCounter(aRegistry,
+                    "catkinloom_requests_total",
+                    "Requests of callers by outcome.",
+                    { { "outcome", aOutcome } });
 }
 
 prometheus::Counter&
 Reads(prometheus::Registry& aRegistry, const std::string& aServer)
 {
-  return Counter(aRegistry,
-                 "catkinloom_reads_total",
-                 "Reads by the kind of instance that served them.",
-                 { { "served_by", aServer } });
+  return AddCounter(aRegistry,
+                    "catkinloom_reads_total",
+                    "Reads by the kind of instance that served them.",
+                    { { "served_by", aServer } });
 }
 
 } // namespace
@@ -68,51 +38,55 @@
   , mRequestsUnknown(Outcome(*mRegistry, "unknown"))
   , mReadsByReplica(Reads(*mRegistry, "replica"))
   , mReadsByPrimary(Reads(*mRegistry, "primary"))
-  , mRetries(Counter(*mRegistry,
-                     "catkinloom_retries_total",
-                     "Requests sent to an upstream a second time."))
-  , mOutcomesResolved(Counter(*mRegistry,
-                              "catkinloom_outcomes_resolved_total",
-                              "Uncertain writes found to have run."))
-  , mConnectionsOpened(Counter(*mRegistry,
-                               "catkinloom_upstream_connections_opened_total",
-                               "Connections opened to upstreams."))
-  , mConnectionsReused(Counter(*mRegistry,
-                               "catkinloom_upstream_connections_reused_total",
-                               "Requests sent on a kept connection."))
-  , mConnectionsBroken(Counter(*mRegistry,
-                               "catkinloom_upstream_connections_broken_total",
-                               "Connections closed with a request on them."))
-  , mResets(Counter(*mRegistry,
-                    "catkinloom_upstream_resets_total",
-                    "Connections cleaned of another request's state."))
-  , mQueueDropped(Counter(*mRegistry,
-                          "catkinloom_queue_dropped_total",
-                          "Waiting requests whose deadline had passed."))
-  , mPromotions(Counter(*mRegistry,
-                        "catkinloom_promotions_total",
-                        "Primaries that this proxy put in place."))
-  , mPlatformCalls(Counter(*mRegistry,
-                           "catkinloom_platform_calls_total",
-                           "Calls to the platform's service."))
-  , mPlatformFailures(Counter(*mRegistry,
-                              "catkinloom_platform_failures_total",
-                              "Calls to the platform that got no answer."))
-  , mPeerMessages(Counter(*mRegistry,
-                          "catkinloom_peer_messages_total",
-                          "Messages sent to other proxies."))
-  , mForwarded(Counter(*mRegistry,
-                       "catkinloom_forwarded_total",
-                       "Requests handed to a proxy that serves the group."))
-  , mControlBytes(Counter(*mRegistry,
-                          "catkinloom_control_bytes_total",
-                          "Bytes of probes and of messages between proxies."))
-  , mManifestVersion(Gauge(*mRegistry,
-                           "catkinloom_manifest_version",
-                           "Version of the manifest in force."))
-  , mCallerConnections(Gauge(*mRegistry,
-                             "catkinloom_caller_connections",
-                             "Connections that callers hold."))
+  , mRetries(AddCounter(*mRegistry,
+                        "catkinloom_retries_total",
+                        "Requests sent to an upstream a second time."))
+  , mOutcomesResolved(AddCounter(*mRegistry,
+                                 "catkinloom_outcomes_resolved_total",
+                                 "Uncertain writes found to have run."))
+  , mConnectionsOpened(
+      AddCounter(*mRegistry,
+                 "catkinloom_upstream_connections_opened_total",
+                 "Connections opened to upstreams."))
+  , mConnectionsReused(
+      AddCounter(*mRegistry,
+                 "catkinloom_upstream_connections_reused_total",
+                 "Requests sent on a kept connection."))
+  , mConnectionsBroken(
+      AddCounter(*mRegistry,
+                 "catkinloom_upstream_connections_broken_total",
+                 "Connections closed with a request on them."))
+  , mResets(AddCounter(*mRegistry,
+                       "catkinloom_upstream_resets_total",
+                       "Connections cleaned of another request's state."))
+  , mQueueDropped(AddCounter(*mRegistry,
+                             "catkinloom_queue_dropped_total",
+                             "Waiting requests whose deadline had passed."))
+  , mPromotions(AddCounter(*mRegistry,
+                           "catkinloom_promotions_total",
+                           "Primaries that this proxy put in place."))
+  , mPlatformCalls(AddCounter(*mRegistry,
+                              "catkinloom_platform_calls_total",
+                              "Calls to the platform's service."))
+  , mPlatformFailures(AddCounter(*mRegistry,
+                                 "catkinloom_platform_failures_total",
+                                 "Calls to the platform that got no answer."))
+  , mPeerMessages(AddCounter(*mRegistry,
+                             "catkinloom_peer_messages_total",
+                             "Messages sent to other proxies."))
+  , mForwarded(AddCounter(*mRegistry,
+                          "catkinloom_forwarded_total",
+                          "Requests handed to a proxy that serves the group."))
+  , mControlBytes(
+      AddCounter(*mRegistry,
+                 "catkinloom_control_bytes_total",
+                 "Bytes of probes and of messages between proxies."))
+  , mManifestVersion(AddGauge(*mRegistry,
+                              "catkinloom_manifest_version",
+                              "Version of the manifest in force."))
+  , mCallerConnections(AddGauge(*mRegistry,
+                                "catkinloom_caller_connections",
+                                "Connections that callers hold."))
   , mRequestSeconds(prometheus::BuildHistogram()
                       .Name("catkinloom_request_seconds")
                       .Help("Time from a request's arrival to its answer.")
@@ -124,7 +98,7 @@
 std::string
 daemon_metrics::Text() const
 {
-  return prometheus::TextSerializer().Serialize(mRegistry->Collect());
+  return MetricsText(*mRegistry);
 }
 
 } // namespace catkinloom
--- a/Source/Decisions/clConcurrencyLimit.cxx
+++ b/Source/Decisions/clConcurrencyLimit.cxx
@@ -48,8 +48,8 @@
     return;
   }
   mTaken += (aTaken - mTaken) / kSmoothing;
-  mUnloaded = mTaken < mUnloaded ? mTaken
-                                 : mUnloaded + (mTaken - mUnloaded) / kDrift;
+  mUnloaded =
+    mTaken < mUnloaded ? mTaken : mUnloaded + (mTaken - mUnloaded) / kDrift;
 }
 
 double
--- a/Source/Ports/clCoordinationStore.h
+++ b/Source/Ports/clCoordinationStore.h
@@ -91,6 +91,12 @@
                                   store_lease aLease,
                                   milliseconds aTimeout) = 0;
 
+  /// Writes a key that only this process writes, whatever it held before.
+  result<store_write> PutOwn(const std::string& aKey,
+                             const std::string& aValue,
+                             store_lease aLease,
+                             milliseconds aTimeout);
+
   virtual result<store_lease> OpenLease(milliseconds aLifetime) = 0;
 
   /// Renews a lease; false when it has ended.
--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -207,9 +207,10 @@
   }
   const auto others = OthersThan(aGroup, leader->mEntry.mId);
   const auto answers = aGroup.OrderEach(others, AskStatus, 0);
-  return std::any_of(answers.begin(), answers.end(), [&own](const auto& aAnswer) {
-    return aAnswer && aAnswer.value().mReceived >= own.value().mReceived;
-  });
+  return std::any_of(
+    answers.begin(), answers.end(), [&own](const auto& aAnswer) {
+      return aAnswer && aAnswer.value().mReceived >= own.value().mReceived;
+    });
 }
 
 bool
--- a/Source/Sessions/clLeadershipPermit.cxx
+++ b/Source/Sessions/clLeadershipPermit.cxx
@@ -40,17 +40,8 @@
     return false;
   }
   const std::string key = std::string(store_keys::kPermits) + mContext.Name();
-  const auto listing = store.List(key, settings.mStoreTimeout);
-  mOnReach(bool(listing), listing ? "" : listing.error().mDetail);
-  if (!listing) {
-    return false;
-  }
-  store_revision revision = 0;
-  for (const store_item& item : listing.value().mItems) {
-    revision = item.mKey == key ? item.mRevision : revision;
-  }
-  const auto written = store.Put(
-    key, std::to_string(lease.value()), revision, 0, settings.mStoreTimeout);
+  const auto written =
+    store.PutOwn(key, std::to_string(lease.value()), 0, settings.mStoreTimeout);
   mOnReach(bool(written), written ? "" : written.error().mDetail);
   if (!written || written.value().mEnd != store_write_end::Written) {
     return false;
--- a/Source/Sessions/clSessionContext.h
+++ b/Source/Sessions/clSessionContext.h
@@ -36,12 +36,8 @@
     : mLoop(aLoop)
     , mPorts(aPorts)
     , mSettings(aSettings)
-    , mUpstreams{ aLoop,
-                  aPorts.mStatements,
-                  mSettings,
-                  mMetrics,
-                  std::move(aName),
-                  std::move(aZone),
+    , mUpstreams{ aLoop,    aPorts.mStatements, mSettings,
+                  mMetrics, std::move(aName),   std::move(aZone),
                   1 }
     , mDesiredKnown(aLoop)
     , mStoreReached(aLoop)
--- a/Source/Sessions/clSessionDaemon.cxx
+++ b/Source/Sessions/clSessionDaemon.cxx
@@ -58,11 +58,8 @@
     mListen.mReady, [this](http_request&, const http_peer&) {
       return MakeResponse(IsReady() ? 200 : 503, "{}");
     }));
-  BOOST_OUTCOME_TRY(mMetricsServer.Listen(
-    mListen.mMetrics, [this](http_request&, const http_peer&) {
-      return MakeResponse(200, mContext.mMetrics.Text());
-    }));
   BOOST_OUTCOME_TRY(ListenForCallers());
+  ListenForMetrics();
   mKeeper.Start();
   mContext.mLoop.Spawn([this] { mKeeper.RunRegistration(); });
   mContext.mLoop.Spawn([this] { mFailover.Run(); });
@@ -79,6 +76,23 @@
   return boost::outcome_v2::success();
 }
 
+void
+session_daemon::ListenForMetrics()
+{
+  const auto listening = mMetricsServer.Listen(
+    mListen.mMetrics, [this](http_request&, const http_peer&) {
+      return MakeResponse(200, mContext.mMetrics.Text());
+    });
+  if (!listening) {
+    // Callers are served all the same; only the figures are missing.
+    Log(log_level::Warning,
+        "daemon",
+        "Metrics are not served. address={} cause={}",
+        mListen.mMetrics,
+        listening.error().mDetail);
+  }
+}
+
 result<void>
 session_daemon::ListenForCallers()
 {
--- a/Source/Sessions/clSessionDaemon.h
+++ b/Source/Sessions/clSessionDaemon.h
@@ -40,6 +40,7 @@
 
 private:
   result<void> ListenForCallers();
+  void ListenForMetrics();
   void Accept();
   void AddSession(boost::asio::ip::tcp::socket aSocket);
   void RunHousekeeping();
--- a/Source/Sessions/clSessionMetrics.cxx
+++ b/Source/Sessions/clSessionMetrics.cxx
@@ -1,6 +1,6 @@
 #include "clSessionMetrics.h"
 
-#include <prometheus/text_serializer.h>
+#include "clMetricFamilies.h"
 
 namespace catkinloom {
 
@@ -10,32 +10,6 @@
   0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10
 };
 
-prometheus::Counter&
-Counter(prometheus::Registry& aRegistry,
-        const std::string& aName,
-        const std::string& aHelp,
-        const prometheus::Labels& aLabels = {})
-{
-  // Registering a family twice returns the one that is there.
-  return prometheus::BuildCounter()
-    .Name(aName)
-    .Help(aHelp)
-    .Register(aRegistry)
-    .Add(aLabels);
-}
-
-prometheus::Gauge&
-Gauge(prometheus::Registry& aRegistry,
-      const std::string& aName,
-      const std::string& aHelp)
-{
-  return prometheus::BuildGauge()
-    .Name(aName)
-    .Help(aHelp)
-    .Register(aRegistry)
-    .Add({});
-}
-
 } // namespace
 
 session_metrics::session_metrics()
@@ -44,39 +18,42 @@
                   .Name("catkinloom_statements_total")
                   .Help("Statements of callers by their end.")
                   .Register(*mRegistry))
-  , mReadsByReplica(Counter(*mRegistry,
-                            "catkinloom_session_reads_total",
-                            "Reads by the kind of instance that served them.",
-                            { { "served_by", "replica" } }))
-  , mReadsByLeader(Counter(*mRegistry,
-                           "catkinloom_session_reads_total",
-                           "Reads by the kind of instance that served them.",
-                           { { "served_by", "leader" } }))
-  , mRetries(Counter(*mRegistry,
-                     "catkinloom_statement_retries_total",
-                     "Statements that were tried at another instance."))
-  , mConnectionsOpened(Counter(*mRegistry,
-                               "catkinloom_upstream_connections_opened_total",
-                               "Connections opened to instances."))
-  , mOwnStatements(Counter(*mRegistry,
-                           "catkinloom_own_statements_total",
-                           "Statements that the proxy sent for itself."))
-  , mStoreCalls(Counter(*mRegistry,
-                        "catkinloom_store_calls_total",
-                        "Calls to the coordination store."))
-  , mStoreFailures(Counter(*mRegistry,
-                           "catkinloom_store_failures_total",
-                           "Calls to the coordination store that failed."))
-  , mPromotions(Counter(*mRegistry,
-                        "catkinloom_promotion_orders_total",
-                        "Promotions that this proxy ordered."))
-  , mLogLinesLeftOut(Counter(*mRegistry,
-                             "catkinloom_log_lines_left_out_total",
-                             "Log lines over the allowed rate."))
-  , mDesiredVersion(Gauge(*mRegistry,
-                          "catkinloom_desired_version",
-                          "Version of the desired state in force."))
-  , mSessions(Gauge(*mRegistry, "catkinloom_sessions", "Sessions of callers."))
+  , mReadsByReplica(
+      AddCounter(*mRegistry,
+                 "catkinloom_session_reads_total",
+                 "Reads by the kind of instance that served them.",
+                 { { "served_by", "replica" } }))
+  , mReadsByLeader(AddCounter(*mRegistry,
+                              "catkinloom_session_reads_total",
+                              "Reads by the kind of instance that served them.",
+                              { { "served_by", "leader" } }))
+  , mRetries(AddCounter(*mRegistry,
+                        "catkinloom_statement_retries_total",
+                        "Statements that were tried at another instance."))
+  , mConnectionsOpened(
+      AddCounter(*mRegistry,
+                 "catkinloom_upstream_connections_opened_total",
+                 "Connections opened to instances."))
+  , mOwnStatements(AddCounter(*mRegistry,
+                              "catkinloom_own_statements_total",
+                              "Statements that the proxy sent for itself."))
+  , mStoreCalls(AddCounter(*mRegistry,
+                           "catkinloom_store_calls_total",
+                           "Calls to the coordination store."))
+  , mStoreFailures(AddCounter(*mRegistry,
+                              "catkinloom_store_failures_total",
+                              "Calls to the coordination store that failed."))
+  , mPromotions(AddCounter(*mRegistry,
+                           "catkinloom_promotion_orders_total",
+                           "Promotions that this proxy ordered."))
+  , mLogLinesLeftOut(AddCounter(*mRegistry,
+                                "catkinloom_log_lines_left_out_total",
+                                "Log lines over the allowed rate."))
+  , mDesiredVersion(AddGauge(*mRegistry,
+                             "catkinloom_desired_version",
+                             "Version of the desired state in force."))
+  , mSessions(
+      AddGauge(*mRegistry, "catkinloom_sessions", "Sessions of callers."))
   , mStatementSeconds(prometheus::BuildHistogram()
                         .Name("catkinloom_statement_seconds")
                         .Help("Time from a statement's arrival to its answer.")
@@ -88,7 +65,7 @@
 std::string
 session_metrics::Text() const
 {
-  return prometheus::TextSerializer().Serialize(mRegistry->Collect());
+  return MetricsText(*mRegistry);
 }
 
 void
--- a/Source/Sessions/clSessionSettings.h
+++ b/Source/Sessions/clSessionSettings.h
@@ -91,8 +91,6 @@
   milliseconds mBusyAnswer{ 1500 };
   /// Pace at which the leaders' silence is looked at.
   milliseconds mHealthInterval{ 100 };
-  /// Time for other proxies to say whether they reach a leader.
-  milliseconds mVoteWait{ 250 };
   /// Time after which another proxy takes an attempt over that has ordered no
   /// promotion yet.
   milliseconds mAttemptLifetime{ 1500 };
--- a/Source/Sessions/clStateKeeper.cxx
+++ b/Source/Sessions/clStateKeeper.cxx
@@ -291,7 +291,8 @@
 {
   // While the store is out the groups themselves are asked instead.
   const bool isTooSoon =
-    !mStoreReached && mContext.Now() < mRefreshedAt + mContext.mSettings.mStoreLongPause;
+    !mStoreReached &&
+    mContext.Now() < mRefreshedAt + mContext.mSettings.mStoreLongPause;
   if (mRefreshing || isTooSoon) {
     return;
   }
@@ -422,17 +423,7 @@
     mLease = lease.value();
   }
   const std::string key = std::string(store_keys::kProxies) + mContext.Name();
-  const auto listing = store.List(key, settings.mStoreTimeout);
-  NoteStore(bool(listing), listing ? "" : listing.error().mDetail);
-  if (!listing) {
-    return false;
-  }
-  store_revision revision = 0;
-  for (const store_item& item : listing.value().mItems) {
-    revision = item.mKey == key ? item.mRevision : revision;
-  }
-  const auto written =
-    store.Put(key, "{}", revision, mLease, settings.mStoreTimeout);
+  const auto written = store.PutOwn(key, "{}", mLease, settings.mStoreTimeout);
   NoteStore(bool(written), written ? "" : written.error().mDetail);
   const bool done = written && written.value().mEnd == store_write_end::Written;
   if (written && written.value().mEnd == store_write_end::LeaseEnded) {
--- a/Source/Sessions/clStatementService.cxx
+++ b/Source/Sessions/clStatementService.cxx
@@ -514,12 +514,10 @@
                                          bool aIsCommit)
 {
   while (true) {
-    const nanoseconds patience = aIsCommit
-                                   ? LeftOf(aAttempt)
-                                   : PatienceFor(*aLoan.mInstance, aAttempt);
+    const nanoseconds patience =
+      aIsCommit ? LeftOf(aAttempt) : PatienceFor(*aLoan.mInstance, aAttempt);
     ++aAttempt.mTries;
-    statement_reply reply =
-      aGroup.Exchange(aLoan, aBytes, patience, aIsCommit);
+    statement_reply reply = aGroup.Exchange(aLoan, aBytes, patience, aIsCommit);
     // Refused for want of a slot: it did not run, and the transaction stands.
     const bool mayOfferAgain =
       reply.Is(statement_error::Busy) &&
@@ -556,12 +554,12 @@
     return FailTransaction(
       aSession, statement_error::Aborted, "connection lost");
   }
-  statement_reply reply = ExchangeInTransaction(
-    group,
-    transaction.mLoan,
-    Encode(aStatement, prepared, std::nullopt),
-    aAttempt,
-    false);
+  statement_reply reply =
+    ExchangeInTransaction(group,
+                          transaction.mLoan,
+                          Encode(aStatement, prepared, std::nullopt),
+                          aAttempt,
+                          false);
   transaction.mIdleSince = mContext.Now();
   if (reply.IsDone()) {
     statement_outcome outcome;
@@ -615,12 +613,12 @@
     EndTransaction(aSession, false);
     return Fail(statement_error::Aborted, "the leader is being replaced");
   }
-  statement_reply reply = ExchangeInTransaction(
-    group,
-    transaction.mLoan,
-    Encode(aStatement, std::nullopt, std::nullopt),
-    tries,
-    wrote);
+  statement_reply reply =
+    ExchangeInTransaction(group,
+                          transaction.mLoan,
+                          Encode(aStatement, std::nullopt, std::nullopt),
+                          tries,
+                          wrote);
   statement_outcome outcome;
   outcome.mInstance = transaction.mLoan.mInstance->mEntry.mId;
   outcome.mPosition = reply.mPosition;
--- a/Source/Sessions/clStatementService.h
+++ b/Source/Sessions/clStatementService.h
@@ -177,8 +177,7 @@
   /// Time to wait for one answer that may be asked for elsewhere or again.
   nanoseconds PatienceFor(const upstream_instance& aInstance,
                           const attempt& aAttempt) const;
-  void CountRead(upstream_group& aGroup,
-                 const upstream_instance& aInstance);
+  void CountRead(upstream_group& aGroup, const upstream_instance& aInstance);
 
   session_context& mContext;
 };
--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -180,9 +180,9 @@
     candidate.mInFlight = instance->mInFlight;
     candidate.mSlots = instance->mEntry.mSlots;
     candidate.mHasIdle = !instance->mIdle.empty();
-    candidate.mMayOpen =
-      instance->mOpen < share && now >= instance->mNoOpenUntil &&
-      instance->mOpening < kMostOpening;
+    candidate.mMayOpen = instance->mOpen < share &&
+                         now >= instance->mNoOpenUntil &&
+                         instance->mOpening < kMostOpening;
     candidate.mHasRoom = instance->mLimit.HasRoom(instance->mExecuting);
     candidate.mAnswerTime = instance->mAnswerTime;
     candidates.push_back(candidate);
@@ -314,8 +314,8 @@
   const time_point now = Now();
   const bool answersOthers =
     now - aInstance.mAnsweredAt < settings.mAcceptTimeout;
-  const bool isBusy = aReply.mOutcome == exchange_outcome::TimedOut &&
-                      answersOthers;
+  const bool isBusy =
+    aReply.mOutcome == exchange_outcome::TimedOut && answersOthers;
   if (aReply.Is(statement_error::ConnectionLimit) || isBusy) {
     aInstance.mNoOpenUntil = now + settings.mAvoidPause;
   } else {
