--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -458,7 +458,7 @@
 std::optional<std::string>
 failover_runner::ChooseFor(const attempt& aAttempt) const
 {
-  const auto ordered = OnlyOrdered(aAttempt.mRecord.mPossibleLeaders);
+  auto ordered = OnlyOrdered(aAttempt.mRecord.mPossibleLeaders);
   const bool answers =
     ordered && std::any_of(aAttempt.mMembers.begin(),
                            aAttempt.mMembers.end(),
