--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -217,10 +217,10 @@
     if (!busy && need.mLeaderOnly) {
       AskLeader();
     }
-    AwaitTurn(aRequest,
-              busy
-                ? until
-                : std::min(until, now + mEnvironment.mSettings.mLeaderPause));
+    // Nothing wakes a statement when a pause of an instance ends.
+    const nanoseconds pause = busy ? mEnvironment.mSettings.mAvoidPause
+                                   : mEnvironment.mSettings.mLeaderPause;
+    AwaitTurn(aRequest, std::min(until, now + pause));
   }
 }
 
--- a/StandIns/fleet_stand_in.py
+++ b/StandIns/fleet_stand_in.py
@@ -121,6 +121,8 @@
         self.commit_delay_s = 0
         self.read_delay_s = 0
         self.cut_from_group = False
+        #: Connections beyond which a new one is refused.
+        self.max_connections = 1000
         self.runs = []
         self.writers = set()
         self.address = None
@@ -225,6 +227,8 @@
             if words[1] != SERVICE or (len(words) > 3
                                        and words[3] != self.ident):
                 return f"ERROR WRONGNODE {self.ident}\r\n"
+            if len(self.writers) > self.max_connections:
+                return f"ERROR CONNLIMIT {self.ident}\r\n"
             return self.ready(state)
         ident, text = words[1], words[2:]
         return await self.statement(ident, text, state)
--- a/Tests/Processes/test_sessions.py
+++ b/Tests/Processes/test_sessions.py
@@ -86,6 +86,15 @@
         self.fleet.instances["i-1"].read_delay_s = 0.55
         self.assertEqual(caller.read("x"), "1")
 
+    def test_statement_is_served_once_a_connection_limit_has_room(self):
+        """As after a restart, while the former connections still count."""
+        leader = self.fleet.instances["i-1"]
+        leader.max_connections = 0
+        threading.Timer(0.35, setattr,
+                        (leader, "max_connections", 1000)).start()
+        caller = self.caller("current")
+        self.assertEqual(caller.read("x"), "-")
+
     def test_answer_lost_of_a_write_is_told_as_unknown_and_runs_once(self):
         caller = self.caller("current")
         self.fleet.instances["i-1"].lose_answers = 1
