soak: file the answer to a write and to a commit in one place

Both asked, filed the answer and raised the floor with the same lines; decide() does. Checks unchanged.

--- a/Tests/Processes/soak_sessions.py
+++ b/Tests/Processes/soak_sessions.py
@@ -126,9 +126,14 @@
 
     def write(self, caller):
         value = self.value()
+        return self.decide(caller, f"WRITE item{self.number} {value}", value)
+
+    def decide(self, caller, text, value):
+        """Asks for what keeps a value or not, and files the answer; returns
+        the value's number if it was acknowledged, else -1."""
         lines = []
         try:
-            lines, ready = caller.ask(f"WRITE item{self.number} {value}")
+            lines, ready = caller.ask(text)
             self.wrote = (value, lines, ready)
         finally:
             kept = self.soak.ledger.note(value, lines)
@@ -152,16 +157,7 @@
             self.ask(caller, "ROLLBACK")
             self.soak.ledger.refused.add(value)
             return -1
-        lines = []
-        try:
-            lines, ready = caller.ask("COMMIT")
-        finally:
-            kept = self.soak.ledger.note(value, lines)
-        if not ready:
-            raise ConnectionError("session ended")
-        if kept:
-            self.floor = self.written
-        return self.written if kept else -1
+        return self.decide(caller, "COMMIT", value)
 
     def read(self, caller, database, floor):
         self.reads += 1
