failover, sessions: keep inherited commits, and tie a read to its proof

Two rules broke on the further sites.

When it did not answer for a moment and the old primary had left the directory, the replica that heard nothing (1.152 against 1.225) was the longest log that answered, and was promoted. Now the record's floor carries over from attempt to attempt, and no instance below it is chosen. The same hole in other ways to choose: a member that left or began anew raises a floor of its own (the leader's end seen after it; until that is seen only the primary may lead), an instance that began anew during an attempt loses its stop, the chosen one is asked again before the order, and a leader that came back without its log stops nothing. A stuck leader is only replaced when all others answer and one holds the floor: before, such a leader was told to step down and promoted again.

A claim no longer undoes the group's own word, and a statement is only lent the leader that its evidence named.

Ruled out: evidence of a kind that lies (both traces show true evidence). Tests: clFailoverPlanTest, clLeadershipTest (fail before). The attempt moves to a file of its own.

--- a/Source/Decisions/clError.cxx
+++ b/Source/Decisions/clError.cxx
@@ -27,6 +27,7 @@
   error_row{ error_kind::DeadlineExceeded, "deadline_exceeded", 504 },
   error_row{ error_kind::Overloaded, "overloaded", 503 },
   error_row{ error_kind::NoCurrentPrimary, "no_current_primary", 503 },
+  error_row{ error_kind::LeaderChanged, "leader_changed", 503 },
   error_row{ error_kind::UpstreamRefused, "upstream_refused", 502 },
   error_row{ error_kind::UpstreamUnreachable, "upstream_unreachable", 502 },
   error_row{ error_kind::OutcomeUnknown, "outcome_unknown", 504 },
--- a/Source/Decisions/clError.h
+++ b/Source/Decisions/clError.h
@@ -21,6 +21,7 @@
   DeadlineExceeded,
   Overloaded,
   NoCurrentPrimary,
+  LeaderChanged,
   UpstreamRefused,
   UpstreamUnreachable,
   OutcomeUnknown,
--- a/Source/Decisions/clFailoverPlan.cxx
+++ b/Source/Decisions/clFailoverPlan.cxx
@@ -93,15 +93,27 @@
 
 std::optional<std::string>
 ChooseNextLeader(const std::vector<failover_member>& aMembers,
-                 const std::string& aPrimary)
+                 const std::string& aPrimary,
+                 const inherited_commits& aInherited)
 {
+  const auto primary = std::find_if(
+    aMembers.begin(), aMembers.end(), [&](const failover_member& aMember) {
+      return aMember.mId == aPrimary && aMember.mStopped;
+    });
+  const auto holdsAll = [&](const failover_member& aMember) {
+    const bool reachesPrimary =
+      primary != aMembers.end() && aMember.mPosition >= primary->mPosition;
+    const bool mayLack = aInherited.mOnlyPrimaryHasAll && !reachesPrimary;
+    return aMember.mStopped && !mayLack &&
+           aMember.mPosition >= aInherited.mFloor;
+  };
   const failover_member* best = nullptr;
   const auto rank = [&aPrimary](const failover_member& aMember) {
     return std::make_tuple(
       aMember.mPosition, !aMember.mDraining, aMember.mId != aPrimary);
   };
   for (const failover_member& member : aMembers) {
-    if (member.mStopped && (best == nullptr || rank(*best) < rank(member))) {
+    if (holdsAll(member) && (best == nullptr || rank(*best) < rank(member))) {
       best = &member;
     }
   }
--- a/Source/Decisions/clFailoverPlan.h
+++ b/Source/Decisions/clFailoverPlan.h
@@ -23,6 +23,19 @@
   term_number mHeldTerm = 0;
   /// End of its log when it said so.
   log_position mPosition{};
+  /// Start of the instance's life that answered; another life of the same
+  /// instance holds nothing of what this one said.
+  std::int64_t mStartedAt = 0;
+};
+
+/// What is known of commits that no member of an attempt need hold.
+struct inherited_commits
+{
+  /// Every instance that may lead must reach this position.
+  log_position mFloor{};
+  /// A lost instance may have held commits beyond the floor; only the stopped
+  /// primary, and who reaches its end, certainly has them.
+  bool mOnlyPrimaryHasAll = false;
 };
 
 /// Newest term that any member knows.  A term without a commit yet stands in no
@@ -64,9 +77,13 @@
 
 /// The stopped instance that holds every acknowledged commit and should lead:
 /// the longest log, and among equals one that stays, the present primary last.
-/// Empty when none was stopped.
+///
+/// A primary holds commits of earlier terms that need be nowhere else, so that
+/// the longest log of the others may still be too short.  Empty when no stopped
+/// instance is known to hold everything.
 std::optional<std::string>
 ChooseNextLeader(const std::vector<failover_member>& aMembers,
-                 const std::string& aPrimary);
+                 const std::string& aPrimary,
+                 const inherited_commits& aInherited);
 
 } // namespace catkinloom
--- a/Source/Decisions/clLeadership.cxx
+++ b/Source/Decisions/clLeadership.cxx
@@ -81,7 +81,8 @@
 void
 group_leadership::OnClaim(const std::string& aInstance)
 {
-  if (!mRecord.mLeader.empty() || mLeader == aInstance) {
+  const bool isKnownBetter = !mRecord.mLeader.empty() || mFoundByGroup;
+  if (isKnownBetter || mLeader == aInstance) {
     return;
   }
   mLeader = aInstance;
@@ -95,6 +96,7 @@
     mLeader = aLeader;
     mProvenUntil = {};
   }
+  mFoundByGroup = true;
   Extend(aSentAt);
 }
 
@@ -147,6 +149,7 @@
       aPosition < mRecord.mFloor) {
     return;
   }
+  ResolveLosses(aPosition, aSentAt);
   const bool close =
     !mObservations.empty() &&
     aSentAt < mObservations.back().mSentAt + kObservationSpacing;
@@ -165,6 +168,30 @@
   mObservations.push_back({ aSentAt, aPosition });
 }
 
+void
+group_leadership::OnMemberLost(time_point aMoment)
+{
+  mLostAt = std::max(mLostAt.value_or(aMoment), aMoment);
+}
+
+void
+group_leadership::OnFollowed(time_point aMoment)
+{
+  mFollowedFrom = aMoment;
+}
+
+void
+group_leadership::ResolveLosses(log_position aPosition, time_point aSentAt)
+{
+  if (mLostAt && aSentAt >= *mLostAt) {
+    mLossFloor = std::max(mLossFloor, aPosition);
+    mLostAt.reset();
+  }
+  if (mFollowedFrom && aSentAt >= *mFollowedFrom) {
+    mFollowedFrom.reset();
+  }
+}
+
 bool
 group_leadership::IsProvenAt(time_point aMoment) const
 {
--- a/Source/Decisions/clLeadership.h
+++ b/Source/Decisions/clLeadership.h
@@ -95,7 +95,9 @@
   /// no evidence, since a watch may have been silent.
   void OnRecordNews(const failover_record& aRecord);
 
-  /// Takes the directory's claim that an instance leads.
+  /// Takes the directory's claim that an instance leads.  Only a group whose
+  /// leader nothing better names goes by it: a replaced leader that was out of
+  /// reach still claims to lead.
   void OnClaim(const std::string& aInstance);
 
   /// The instance was found to lead by asking its group at aSentAt.
@@ -143,8 +145,23 @@
   /// that reaches it is fresh as of aMoment.  Empty when nothing proves one.
   std::optional<log_position> FloorSince(time_point aMoment) const;
 
-  /// End of the leader's log at the promotion; a leader's answer must reach it.
-  log_position PromotionFloor() const { return mRecord.mFloor; }
+  /// An instance other than the leader left, or began anew without its log, at
+  /// aMoment.  It may have held the only copy of a commit beside the leader's.
+  void OnMemberLost(time_point aMoment);
+
+  /// The group is followed from aMoment on; members lost before are not known.
+  void OnFollowed(time_point aMoment);
+
+  /// Position that holds every commit whose copy a lost instance may have been.
+  log_position LossFloor() const { return mLossFloor; }
+
+  /// An instance was lost and the leader's log end was not seen since: no
+  /// position is known that holds every acknowledged commit.
+  bool HasUnknownLoss() const { return mLostAt.has_value(); }
+
+  /// The leader's log end was not seen since the group is followed, so that an
+  /// instance lost before may have held a commit that no other replica has.
+  bool HasUnknownHistory() const { return mFollowedFrom.has_value(); }
 
 private:
   struct observation
@@ -156,16 +173,22 @@
   void Adopt(const failover_record& aRecord);
   void Extend(time_point aSentAt);
   void Observe(log_position aPosition, time_point aSentAt);
+  void ResolveLosses(log_position aPosition, time_point aSentAt);
 
   leadership_settings mSettings;
   failover_record mRecord;
   std::string mLeader;
+  /// The group itself named the leader, not only the directory.
+  bool mFoundByGroup = false;
   time_point mProvenUntil;
   /// Leader that the records named when they were read under the permit.
   std::string mPermittedLeader;
   /// When the store was last asked for the record that is known.
   time_point mRecordAskedAt;
   std::deque<observation> mObservations;
+  log_position mLossFloor;
+  std::optional<time_point> mLostAt;
+  std::optional<time_point> mFollowedFrom;
 };
 
 } // namespace catkinloom
--- /dev/null
+++ b/Source/Sessions/clFailoverAttempt.cxx
@@ -0,0 +1,634 @@
+#include "clFailoverAttempt.h"
+
+#include "clLeadershipPermit.h"
+#include "clLog.h"
+#include "clStoreKeys.h"
+
+#include <algorithm>
+
+namespace catkinloom {
+
+namespace {
+
+/// Pause between two tries within an attempt.
+constexpr milliseconds kStepPause{ 30 };
+
+/// Pause after an order that was not carried out.
+constexpr milliseconds kOrderPause{ 90 };
+
+/// How long, in hundredths of an evidence lifetime, a promoter waits: clocks
+/// of different VMs run at slightly different rates.
+constexpr int kWaitPercent = 120;
+
+/// Least time from a promotion order to its effect.
+constexpr milliseconds kLeastPromotionTime{ 200 };
+
+/// Longest time for one attempt.
+constexpr milliseconds kAttemptLimit{ 8000 };
+
+/// Time beyond the store's own time-out after which an order is no longer
+/// given under a token: this process was suspended meanwhile, and another
+/// holder may have acted.
+constexpr milliseconds kTokenSlack{ 200 };
+
+} // namespace
+
+std::string_view
+FailoverReasonName(failover_reason aReason)
+{
+  switch (aReason) {
+    case failover_reason::Silent:
+      return "silent";
+    case failover_reason::CommitsStuck:
+      return "commits_stuck";
+    case failover_reason::Leaving:
+      return "leaving";
+    case failover_reason::Missing:
+      return "missing";
+    case failover_reason::Unfinished:
+      return "unfinished";
+  }
+  return "silent";
+}
+
+std::vector<std::shared_ptr<upstream_instance>>
+OthersThan(const upstream_group& aGroup, const std::string& aId)
+{
+  auto others = aGroup.Instances();
+  std::erase_if(others, [&aId](const auto& aInstance) {
+    return aInstance->mEntry.mId == aId;
+  });
+  return others;
+}
+
+instance_order
+AskStatus(const upstream_instance&)
+{
+  return instance_order::Status;
+}
+
+failover_attempt::failover_attempt(session_context& aContext,
+                                   upstream_group& aGroup,
+                                   failover_reason aReason,
+                                   const failover_record& aRecord,
+                                   time_point aRecordSince)
+  : mContext(aContext)
+  , mGroup(aGroup)
+  , mReason(aReason)
+  , mPrimary(aGroup.Leadership().Leader())
+  , mRecord(aRecord)
+  , mRecordFloor(aRecord.mFloor)
+  , mUnanswered(aRecord.mPossibleLeaders)
+  , mUnansweredSince(aRecordSince)
+  , mGiveUpAt(aContext.Now() + kAttemptLimit)
+{
+  const bool hasLapsed =
+    Now() >= aRecordSince + aContext.mSettings.mUnansweredOrderLifetime;
+  if (aRecord.mPhase == failover_phase::Settled && hasLapsed) {
+    mRecord.mPossibleLeaders.clear();
+    mUnanswered.clear();
+  }
+  mRecord.mPhase = failover_phase::Contested;
+  mRecord.mCommitsStopped = false;
+  mRecord.mHolder = aContext.Name();
+  mRecord.mLeader = mPrimary;
+}
+
+bool
+failover_attempt::Run()
+{
+  Log(log_level::Info,
+      "failover",
+      "Attempt begins. service={} leader={} reason={} revision={} "
+      "floor={}.{} loss_floor={}.{} unknown_loss={}",
+      mGroup.Service(),
+      mPrimary,
+      FailoverReasonName(mReason),
+      mRecord.mRevision,
+      mRecordFloor.mTerm,
+      mRecordFloor.mIndex,
+      mGroup.Leadership().LossFloor().mTerm,
+      mGroup.Leadership().LossFloor().mIndex,
+      mGroup.Leadership().HasUnknownLoss());
+  if (!WriteRecord()) {
+    return false;
+  }
+  while (Now() < mGiveUpAt) {
+    const auto chosen = PrepareNextLeader();
+    if (!chosen) {
+      mContext.mLoop.Sleep(mContext.mSettings.mLeaderPause);
+      continue;
+    }
+    mRecord.mCommitsStopped = true;
+    mRecord.mFloor = MemberOf(*chosen).mPosition;
+    mGroup.Leadership().OnCommitsStopped(mRecord.mFloor, mStoppedAt);
+    AwaitEvidenceLapse();
+    if (!AreCommitsStillStopped() || !IsStillEligible(*chosen)) {
+      continue;
+    }
+    if (OrderPromotion(*chosen)) {
+      if (!Settle(*chosen)) {
+        return false;
+      }
+      AwaitEffect(*chosen);
+      return true;
+    }
+  }
+  return false;
+}
+
+std::optional<std::string>
+failover_attempt::PrepareNextLeader()
+{
+  if (!StopCommits()) {
+    return std::nullopt;
+  }
+  if (!Choose()) {
+    StepPrimaryDown();
+    Log(log_level::Info,
+        "failover",
+        "No instance may lead without loss yet. service={} floor={}.{} "
+        "unknown_loss={} unanswered_orders={}",
+        mGroup.Service(),
+        Inherited().mFloor.mTerm,
+        Inherited().mFloor.mIndex,
+        mGroup.Leadership().HasUnknownLoss(),
+        mUnanswered.size());
+    return std::nullopt;
+  }
+  // A leader that still answers must not go on with instances that this proxy
+  // does not know yet.  A silent one is not waited for before the permits are
+  // ended.
+  bool isEnded = false;
+  mContext.mLoop.RunAll(
+    { [&] { StepPrimaryDown(); }, [&] { isEnded = EndPermits(); } });
+  return isEnded ? Choose() : std::nullopt;
+}
+
+void
+failover_attempt::AwaitEvidenceLapse()
+{
+  const nanoseconds wait =
+    nanoseconds(mContext.mSettings.mLeadership.mEvidenceLifetime) *
+      kWaitPercent / 100 -
+    nanoseconds(kLeastPromotionTime);
+  const time_point since = std::max(mStoppedAt, *mPermitsEndedAt);
+  const nanoseconds left = since + wait - Now();
+  if (left > nanoseconds(0)) {
+    mContext.mLoop.Sleep(left);
+  }
+}
+
+failover_member&
+failover_attempt::MemberOf(const std::string& aId)
+{
+  for (failover_member& member : mMembers) {
+    if (member.mId == aId) {
+      return member;
+    }
+  }
+  failover_member added;
+  added.mId = aId;
+  return mMembers.emplace_back(std::move(added));
+}
+
+term_number
+failover_attempt::NextTerm() const
+{
+  term_number newest = 0;
+  for (const auto& instance : mGroup.Instances()) {
+    newest = std::max({ newest, instance->mTerm, instance->mPosition.mTerm });
+  }
+  return newest + 1;
+}
+
+bool
+failover_attempt::WriteRecord()
+{
+  const std::string key = std::string(store_keys::kFailover) + mGroup.Service();
+  const auto written =
+    mContext.mPorts.mStore.Put(key,
+                               EncodeFailoverRecord(mRecord),
+                               mRecord.mRevision,
+                               0,
+                               mContext.mSettings.mStoreTimeout);
+  if (written && written.value().mEnd == store_write_end::Written) {
+    mRecord.mRevision = written.value().mRevision;
+    mGroup.Leadership().OnRecordNews(mRecord);
+    return true;
+  }
+  Log(log_level::Info,
+      "failover",
+      "Record not written. service={} expected={} cause={}",
+      mGroup.Service(),
+      mRecord.mRevision,
+      written ? "changed by another" : written.error().mDetail);
+  if (!written) {
+    // It may have been written all the same: look before the next try.
+    mContext.mRefreshLeadership();
+  }
+  return false;
+}
+
+bool
+failover_attempt::StopCommits()
+{
+  while (Now() < mGiveUpAt) {
+    // An instance that has left can confirm nothing any more.
+    std::erase_if(mMembers, [&](const failover_member& aMember) {
+      return aMember.mId != mPrimary && !mGroup.Find(aMember.mId);
+    });
+    StopOnce();
+    if (IsStopped()) {
+      mStoppedAt = Now();
+      if (mReason == failover_reason::Leaving) {
+        CatchUpWithPrimary();
+      }
+      return true;
+    }
+    if (mReason == failover_reason::Leaving) {
+      // The leader did not step down by itself: stop all others instead.
+      mReason = failover_reason::Silent;
+      continue;
+    }
+    mContext.mLoop.Sleep(kStepPause);
+  }
+  return false;
+}
+
+void
+failover_attempt::StopOnce()
+{
+  const term_number next = NextTerm();
+  const bool planned = mReason == failover_reason::Leaving;
+  const auto orderOf = [this](const upstream_instance& aInstance) {
+    return aInstance.mEntry.mId == mPrimary ? instance_order::StepDown
+                                            : instance_order::Hold;
+  };
+  std::vector<std::shared_ptr<upstream_instance>> ordered;
+  for (const auto& instance : mGroup.Instances()) {
+    failover_member& member = MemberOf(instance->mEntry.mId);
+    member.mDraining = instance->mEntry.mDraining;
+    const bool isPrimary = instance->mEntry.mId == mPrimary;
+    // A lost leader would only be waited for, unless the others are not enough.
+    const bool wanted = isPrimary ? planned || mRounds > 0 : !planned;
+    if (!member.mStopped && wanted) {
+      ordered.push_back(instance);
+    }
+  }
+  ++mRounds;
+  const auto answers = mGroup.OrderEach(ordered, orderOf, next);
+  for (std::size_t i = 0; i < ordered.size(); ++i) {
+    TakeAnswer(*ordered[i], orderOf(*ordered[i]), next, answers[i]);
+  }
+  JudgeHolds(mMembers);
+}
+
+void
+failover_attempt::TakeAnswer(upstream_instance& aInstance,
+                             instance_order aOrder,
+                             term_number aTerm,
+                             const result<instance_status>& aAnswer)
+{
+  failover_member& member = MemberOf(aInstance.mEntry.mId);
+  bool hasLog = true;
+  if (aAnswer) {
+    const instance_status& status = aAnswer.value();
+    const bool isHold = aOrder == instance_order::Hold;
+    // A leader that began anew without its log holds none of its commits.
+    hasLog = isHold || status.mReceived >= aInstance.mFormerEnd;
+    member.mStopped = !isHold && !status.mLeads && hasLog;
+    member.mHeldTerm = isHold ? status.mHeldTerm : 0;
+    member.mTerm = status.mTerm;
+    member.mPosition = status.mReceived;
+    member.mStartedAt = aInstance.mEntry.mStartedAt;
+  }
+  Log(log_level::Info,
+      "failover",
+      "Order answered. service={} instance={} order={} term={} own_term={} "
+      "held_term={} log={}.{} has_log={} cause={}",
+      mGroup.Service(),
+      member.mId,
+      aOrder == instance_order::StepDown ? "step_down" : "hold",
+      aTerm,
+      member.mTerm,
+      member.mHeldTerm,
+      member.mPosition.mTerm,
+      member.mPosition.mIndex,
+      hasLog,
+      aAnswer ? "" : aAnswer.error().mDetail);
+}
+
+void
+failover_attempt::StepPrimaryDown()
+{
+  const auto primary = mGroup.Find(mPrimary);
+  if (!primary || MemberOf(mPrimary).mStopped) {
+    return;
+  }
+  const term_number next = NextTerm();
+  const auto answer = mGroup.Order(*primary, instance_order::StepDown, next);
+  TakeAnswer(*primary, instance_order::StepDown, next, answer);
+}
+
+bool
+failover_attempt::EndPermits()
+{
+  while (!mPermitsEndedAt && Now() < mGiveUpAt) {
+    const auto ended = EndEveryPermit(mContext);
+    if (ended) {
+      mPermitsEndedAt = Now();
+      return true;
+    }
+    Log(log_level::Info,
+        "failover",
+        "Permits not ended yet. service={} cause={}",
+        mGroup.Service(),
+        ended.error().mDetail);
+    mContext.mLoop.Sleep(kStepPause);
+  }
+  return mPermitsEndedAt.has_value();
+}
+
+inherited_commits
+failover_attempt::Inherited() const
+{
+  const group_leadership& leadership = mGroup.Leadership();
+  return { std::max(mRecordFloor, leadership.LossFloor()),
+           leadership.HasUnknownLoss() };
+}
+
+bool
+failover_attempt::MayLeaveThePrimary() const
+{
+  // A group of full size has lost nobody without a successor.
+  constexpr std::size_t kFullSize = 3;
+  const group_leadership& leadership = mGroup.Leadership();
+  const bool mayHaveLost =
+    leadership.HasUnknownLoss() ||
+    (leadership.HasUnknownHistory() && mGroup.Instances().size() < kFullSize);
+  return mReason == failover_reason::CommitsStuck &&
+         HoldEveryCommitWithout(
+           mMembers, mPrimary, mGroup.Declared().mSyncReplicas, mayHaveLost);
+}
+
+bool
+failover_attempt::MayBeOvertaken(const std::string& aChosen) const
+{
+  const session_settings& settings = mContext.mSettings;
+  const bool isRecent =
+    Now() < mUnansweredSince + settings.mUnansweredOrderLifetime;
+  return !settings.mFencedPromotions && isRecent &&
+         std::any_of(mUnanswered.begin(),
+                     mUnanswered.end(),
+                     [&aChosen](const std::string& aOrdered) {
+                       return aOrdered != aChosen;
+                     });
+}
+
+std::optional<std::string>
+failover_attempt::Choose() const
+{
+  const inherited_commits inherited = Inherited();
+  const auto ordered = OnlyOrdered(mRecord.mPossibleLeaders);
+  const bool answers =
+    ordered &&
+    std::any_of(
+      mMembers.begin(), mMembers.end(), [&](const failover_member& aMember) {
+        return aMember.mId == *ordered && aMember.mStopped &&
+               aMember.mPosition >= inherited.mFloor;
+      });
+  if (answers) {
+    return ordered;
+  }
+  std::vector<failover_member> candidates = mMembers;
+  // A primary that reaches no replica would be just as stuck afterwards.
+  if (MayLeaveThePrimary()) {
+    std::erase_if(candidates, [this](const failover_member& aMember) {
+      return aMember.mId == mPrimary;
+    });
+  }
+  auto chosen = ChooseNextLeader(candidates, mPrimary, inherited);
+  if (chosen && MayBeOvertaken(*chosen)) {
+    return std::nullopt;
+  }
+  return chosen;
+}
+
+bool
+failover_attempt::IsStopped() const
+{
+  std::vector<std::string> mayLead = mRecord.mPossibleLeaders;
+  if (const auto next = Choose()) {
+    std::erase(mayLead, *next);
+  }
+  return IsEveryCommitStopped(
+    mMembers, mPrimary, mayLead, mGroup.Declared().mSyncReplicas);
+}
+
+bool
+failover_attempt::AreCommitsStillStopped()
+{
+  for (const auto& instance : mGroup.Instances()) {
+    failover_member& member = MemberOf(instance->mEntry.mId);
+    const bool isAnotherLife =
+      member.mStopped && member.mStartedAt != instance->mEntry.mStartedAt;
+    if (isAnotherLife) {
+      Log(log_level::Info,
+          "failover",
+          "Instance began anew during the attempt. service={} instance={}",
+          mGroup.Service(),
+          member.mId);
+      member = failover_member{};
+      member.mId = instance->mEntry.mId;
+    }
+  }
+  JudgeHolds(mMembers);
+  if (IsStopped()) {
+    return true;
+  }
+  Log(log_level::Info,
+      "failover",
+      "Commits are possible again during the attempt. service={}",
+      mGroup.Service());
+  return false;
+}
+
+bool
+failover_attempt::IsStillEligible(const std::string& aChosen)
+{
+  const auto instance = mGroup.Find(aChosen);
+  failover_member& member = MemberOf(aChosen);
+  if (instance) {
+    const auto status = mGroup.Order(*instance, instance_order::Status, 0);
+    // An instance that is too busy to say more lives.
+    const bool isBusy =
+      !status && status.error().mKind == error_kind::UpstreamRefused;
+    const bool isSame = status &&
+                        status.value().mReceived >= member.mPosition &&
+                        status.value().mHeldTerm >= member.mHeldTerm;
+    if (isBusy || isSame) {
+      return true;
+    }
+  }
+  Log(log_level::Info,
+      "failover",
+      "Chosen instance is not as it was. service={} instance={}",
+      mGroup.Service(),
+      aChosen);
+  member.mStopped = false;
+  member.mHeldTerm = 0;
+  return false;
+}
+
+void
+failover_attempt::CatchUpWithPrimary()
+{
+  const log_position end = MemberOf(mPrimary).mPosition;
+  const time_point until = Now() + mContext.mSettings.mHandOverWait;
+  while (Now() < until) {
+    auto staying = OthersThan(mGroup, mPrimary);
+    std::erase_if(staying, [](const auto& aInstance) {
+      return aInstance->mEntry.mDraining;
+    });
+    const auto answers = mGroup.OrderEach(staying, AskStatus, 0);
+    for (std::size_t i = 0; i < staying.size(); ++i) {
+      if (answers[i] && answers[i].value().mReceived >= end) {
+        failover_member& member = MemberOf(staying[i]->mEntry.mId);
+        // Nothing can be added to its log, since nobody leads.
+        member.mStopped = true;
+        member.mPosition = answers[i].value().mReceived;
+        member.mStartedAt = staying[i]->mEntry.mStartedAt;
+        return;
+      }
+    }
+    mContext.mLoop.Sleep(kStepPause);
+  }
+}
+
+bool
+failover_attempt::OrderPromotion(const std::string& aChosen)
+{
+  const session_settings& settings = mContext.mSettings;
+  auto& mayLead = mRecord.mPossibleLeaders;
+  if (std::find(mayLead.begin(), mayLead.end(), aChosen) == mayLead.end()) {
+    mayLead.push_back(aChosen);
+  }
+  // The order is on record before it is given, and its token is new.
+  const time_point writtenAt = Now();
+  if (!WriteRecord()) {
+    mGiveUpAt = Now();
+    return false;
+  }
+  if (Now() - writtenAt > settings.mStoreTimeout + kTokenSlack) {
+    Log(log_level::Info,
+        "failover",
+        "Token is too old to be used. service={} token={}",
+        mGroup.Service(),
+        mRecord.mRevision);
+    return false;
+  }
+  const promotion_order order{
+    mGroup.Service(), aChosen, mContext.Name(), mRecord.mRevision
+  };
+  mContext.mMetrics.mPromotions.Increment();
+  const promotion_end end =
+    mContext.mPorts.mPromotions.Promote(order, settings.mPromoteTimeout);
+  Log(log_level::Info,
+      "failover",
+      "Promotion ordered. service={} instance={} token={} end={}",
+      order.mService,
+      order.mInstance,
+      order.mFencingToken,
+      static_cast<int>(end));
+  if (end == promotion_end::Accepted) {
+    return true;
+  }
+  if (end == promotion_end::Unknown) {
+    mUnanswered.push_back(aChosen);
+    mUnansweredSince = Now();
+  } else if (std::find(mUnanswered.begin(), mUnanswered.end(), aChosen) ==
+             mUnanswered.end()) {
+    std::erase(mayLead, aChosen);
+  }
+  if (end == promotion_end::Refused) {
+    // It does not run, or another attempt is newer: look again.
+    std::erase_if(mMembers, [&](const failover_member& aMember) {
+      return aMember.mId == aChosen;
+    });
+  }
+  mContext.mLoop.Sleep(kOrderPause);
+  return false;
+}
+
+bool
+failover_attempt::Settle(const std::string& aLeader)
+{
+  mRecord.mPhase = failover_phase::Settled;
+  mRecord.mLeader = aLeader;
+  mRecord.mCommitsStopped = false;
+  // A platform that checks the token refuses what is older than this order.
+  mRecord.mPossibleLeaders = mContext.mSettings.mFencedPromotions
+                               ? std::vector<std::string>()
+                               : mUnanswered;
+  const time_point until = Now() + mContext.mSettings.mPromoteEffect;
+  while (Now() < until) {
+    if (WriteRecord()) {
+      mGroup.WakeAll();
+      return true;
+    }
+    mContext.mLoop.Sleep(mContext.mSettings.mStoreRetryPause);
+    const failover_record& seen = mGroup.Leadership().Record();
+    if (seen.mRevision > mRecord.mRevision) {
+      return seen.mLeader == aLeader;
+    }
+  }
+  return false;
+}
+
+void
+failover_attempt::AwaitEffect(const std::string& aLeader)
+{
+  const time_point until = Now() + mContext.mSettings.mPromoteEffect;
+  while (Now() < until) {
+    const auto leader = mGroup.Find(aLeader);
+    if (!leader || mGroup.Leadership().Leader() != aLeader) {
+      return;
+    }
+    const auto status = mGroup.Order(*leader, instance_order::Status, 0);
+    if (status && status.value().mLeads) {
+      Log(log_level::Info,
+          "failover",
+          "Leader leads. service={} instance={} term={}",
+          mGroup.Service(),
+          aLeader,
+          status.value().mTerm);
+      mGroup.WakeAll();
+      ResumeOthers(aLeader);
+      return;
+    }
+    mContext.mLoop.Sleep(mContext.mSettings.mLeaderPause);
+  }
+}
+
+void
+failover_attempt::ResumeOthers(const std::string& aLeader)
+{
+  const auto others = OthersThan(mGroup, aLeader);
+  const auto answers = mGroup.OrderEach(others, AskStatus, 0);
+  for (std::size_t i = 0; i < others.size(); ++i) {
+    const bool isHeld =
+      answers[i] && answers[i].value().mHeldTerm > answers[i].value().mTerm;
+    if (isHeld) {
+      const auto resumed = mGroup.Order(*others[i], instance_order::Resume, 0);
+      Log(log_level::Info,
+          "failover",
+          "Instance told to receive again. service={} instance={} done={}",
+          mGroup.Service(),
+          others[i]->mEntry.mId,
+          bool(resumed));
+    }
+  }
+}
+
+} // namespace catkinloom
--- a/Source/Sessions/clSessionSettings.h
+++ b/Source/Sessions/clSessionSettings.h
@@ -102,6 +102,11 @@
   milliseconds mHandOverWait{ 400 };
   /// Time for the platform to answer a promotion order.
   milliseconds mPromoteTimeout{ 500 };
+  /// The platform refuses a promotion whose token is older than another's.
+  bool mFencedPromotions = true;
+  /// Time for which a promotion that got no answer may still be carried out;
+  /// it counts only where the platform does not check tokens.
+  milliseconds mUnansweredOrderLifetime{ 10000 };
   /// Longest time for a promotion to take effect.  Source: 600 to 1,000 ms in
   /// the deployments.
   milliseconds mPromoteEffect{ 2500 };
--- a/Source/Sessions/clStatementService.cxx
+++ b/Source/Sessions/clStatementService.cxx
@@ -247,6 +247,9 @@
   if (!isPlainWrite && !AwaitProof(aGroup, aAttempt)) {
     return error{ error_kind::NoCurrentPrimary, "leader not proven" };
   }
+  if (!isPlainWrite) {
+    fresh.mProvenLeader = aGroup.Leadership().Leader();
+  }
   return fresh;
 }
 
@@ -266,9 +269,18 @@
   request.mPromptUntil =
     aAttempt.mReceivedAt + aSession.mRoute->mTargetLatency / kPromptShare;
   request.mDeadline = aAttempt.mDeadline;
+  request.mProvenLeader = aFreshness.mProvenLeader;
   return aGroup.Borrow(request);
 }
 
+bool
+statement_service::MustProveAgain(const result<connection_loan>& aBorrowed,
+                                  const attempt& aAttempt) const
+{
+  return !aBorrowed && mContext.Now() < aAttempt.mDeadline &&
+         aBorrowed.error().mKind == error_kind::LeaderChanged;
+}
+
 std::optional<statement_error>
 statement_service::PrepareConnection(
   const serving_session& aSession,
@@ -390,6 +402,9 @@
       return Fail(statement_error::Busy, fresh.error().mDetail);
     }
     auto borrowed = Borrow(aSession, group, fresh.value(), aAttempt);
+    if (MustProveAgain(borrowed, aAttempt)) {
+      continue;
+    }
     if (!borrowed) {
       return Fail(statement_error::Busy, borrowed.error().mDetail);
     }
@@ -466,6 +481,9 @@
         aSession, statement_error::Busy, fresh.error().mDetail);
     }
     auto borrowed = Borrow(aSession, group, fresh.value(), tries);
+    if (MustProveAgain(borrowed, tries)) {
+      continue;
+    }
     if (!borrowed) {
       return FailTransaction(
         aSession, statement_error::Busy, borrowed.error().mDetail);
--- a/Source/Sessions/clStatementService.h
+++ b/Source/Sessions/clStatementService.h
@@ -82,6 +82,8 @@
   {
     bool mLeaderOnly = true;
     std::optional<log_position> mFloor;
+    /// The leader that was proven; empty when no proof is needed.
+    std::string mProvenLeader;
   };
 
   statement_outcome Begin(serving_session& aSession,
@@ -133,6 +135,11 @@
                                  const freshness& aFreshness,
                                  attempt& aAttempt);
 
+  /// Evidence named another leader than the present one, and there is time to
+  /// look for new evidence.
+  bool MustProveAgain(const result<connection_loan>& aBorrowed,
+                      const attempt& aAttempt) const;
+
   /// Brings a connection to the session's values; the error that stops it.
   std::optional<statement_error> PrepareConnection(
     const serving_session& aSession,
--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -82,12 +82,18 @@
 {
   aInstance.mGone = true;
   aInstance.mIdle.clear();
-  mLostMemberAt = Now();
+  // The leader's own copy is beside those that confirm its commits.
+  if (aInstance.mEntry.mId != mLeadership.Leader()) {
+    mLeadership.OnMemberLost(Now());
+  }
 }
 
 void
 upstream_group::ApplyEntries(const std::vector<instance_entry>& aEntries)
 {
+  if (mInstances.empty() && !aEntries.empty()) {
+    mLeadership.OnFollowed(Now());
+  }
   std::vector<std::shared_ptr<upstream_instance>> next;
   for (const instance_entry& entry : aEntries) {
     auto instance = Find(entry.mId);
@@ -95,10 +101,13 @@
                           instance->mEntry.mAddress == entry.mAddress &&
                           instance->mEntry.mStartedAt == entry.mStartedAt;
     if (!sameLife) {
+      log_position formerEnd;
       if (instance) {
         MarkGone(*instance);
+        formerEnd = std::max(instance->mPosition, instance->mFormerEnd);
       }
       instance = std::make_shared<upstream_instance>();
+      instance->mFormerEnd = formerEnd;
     }
     if (!sameLife || !(instance->mEntry == entry)) {
       Log(log_level::Info,
@@ -197,6 +206,9 @@
   const time_point leaderUntil =
     std::min(aRequest.mDeadline, Now() + mEnvironment.mSettings.mLeaderWait);
   while (true) {
+    if (HasLostEvidence(aRequest)) {
+      return error{ error_kind::LeaderChanged, "the leader changed" };
+    }
     const time_point now = Now();
     const placement chosen = Select(need, now);
     if (chosen.mEnd == placement_end::Chosen) {
--- a/Source/Sessions/clUpstreamGroup.h
+++ b/Source/Sessions/clUpstreamGroup.h
@@ -36,6 +36,8 @@
   std::uint32_t mExecuting = 0;
   concurrency_limit mLimit;
   log_position mPosition;
+  /// End of its log in a former life, as far as it was known.
+  log_position mFormerEnd;
   /// Newest term that it told when asked about itself.
   term_number mTerm = 0;
   /// It said that it leads, in the directory or in an answer.
@@ -74,6 +76,9 @@
   /// If it is lent a connection by then, its answer is in time for the caller.
   time_point mPromptUntil;
   time_point mDeadline;
+  /// The leader that evidence names; another one must not serve.  Empty when
+  /// the statement needs no evidence.
+  std::string mProvenLeader;
 };
 
 /// What all groups of one proxy share.
@@ -104,7 +109,8 @@
   void ApplyEntries(const std::vector<instance_entry>& aEntries);
 
   /// Lends a connection to an instance that meets the need.  Errors, all
-  /// before anything was sent: Overloaded, NoCurrentPrimary.
+  /// before anything was sent: Overloaded, NoCurrentPrimary, and LeaderChanged
+  /// when another instance leads than evidence named.
   result<connection_loan> Borrow(const loan_request& aRequest);
 
   /// Takes a connection back; a closed one frees its place.
@@ -146,12 +152,6 @@
     return mInstances;
   }
 
-  /// An instance left, or began anew without its log, in the last aWithin.
-  bool HasLostMember(nanoseconds aWithin) const
-  {
-    return mLostMemberAt && Now() < *mLostMemberAt + aWithin;
-  }
-
   /// Number by which a placement names the instance.
   std::uint32_t BitOf(const upstream_instance& aInstance) const;
 
@@ -177,6 +177,11 @@
   };
 
   void MarkGone(upstream_instance& aInstance);
+  bool HasLostEvidence(const loan_request& aRequest) const
+  {
+    return !aRequest.mProvenLeader.empty() &&
+           aRequest.mProvenLeader != mLeadership.Leader();
+  }
   /// Opens a connection apart from the pool, for an order.
   std::unique_ptr<statement_connection> OpenForOrder(
     const upstream_instance& aInstance);
@@ -220,8 +225,6 @@
   bool mAskingLeader = false;
   /// The leader is not asked again before.
   time_point mAskLeaderAt;
-  /// When an instance was last lost with its log; empty if none was.
-  std::optional<time_point> mLostMemberAt;
 };
 
 } // namespace catkinloom
--- a/Tests/Decisions/clFailoverPlanTest.cxx
+++ b/Tests/Decisions/clFailoverPlanTest.cxx
@@ -32,6 +32,7 @@
 
   std::vector<failover_member> mMembers{ { "a" }, { "b" }, { "c" } };
   std::vector<std::string> mMayLead;
+  inherited_commits mInherited;
 };
 
 } // namespace
@@ -80,14 +81,14 @@
 {
   Stop("b", { 1, 5 });
   Stop("c", { 1, 7 });
-  CHECK(ChooseNextLeader(mMembers, "a") == "c");
+  CHECK(ChooseNextLeader(mMembers, "a", mInherited) == "c");
 }
 
 TEST_CASE_FIXTURE(failover_plan_fixture, "choice_compares_terms_first")
 {
   Stop("b", { 2, 1 });
   Stop("c", { 1, 700 });
-  CHECK(ChooseNextLeader(mMembers, "a") == "b");
+  CHECK(ChooseNextLeader(mMembers, "a", mInherited) == "b");
 }
 
 TEST_CASE_FIXTURE(failover_plan_fixture,
@@ -96,7 +97,7 @@
   Stop("b", { 1, 5 });
   Stop("c", { 1, 5 });
   Member("b").mDraining = true;
-  CHECK(ChooseNextLeader(mMembers, "a") == "c");
+  CHECK(ChooseNextLeader(mMembers, "a", mInherited) == "c");
 }
 
 TEST_CASE_FIXTURE(failover_plan_fixture,
@@ -105,13 +106,13 @@
   Stop("b", { 1, 6 });
   Stop("c", { 1, 5 });
   Member("b").mDraining = true;
-  CHECK(ChooseNextLeader(mMembers, "a") == "b");
+  CHECK(ChooseNextLeader(mMembers, "a", mInherited) == "b");
 }
 
 TEST_CASE_FIXTURE(failover_plan_fixture,
                   "choice_without_a_stopped_instance_is_empty")
 {
-  CHECK_FALSE(ChooseNextLeader(mMembers, "a"));
+  CHECK_FALSE(ChooseNextLeader(mMembers, "a", mInherited));
 }
 
 TEST_CASE_FIXTURE(failover_plan_fixture,
@@ -179,3 +180,40 @@
   Stop("c", { 1, 4 });
   CHECK_FALSE(HoldEveryCommitWithout(mMembers, "a", 0, false));
 }
+
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "choice_with_a_log_below_the_inherited_commits_is_empty")
+{
+  // `a` was promoted with a log up to 1.229 and leads term 2; `b` heard nothing
+  // since 1.157, and `a` answers nothing now.
+  mInherited.mFloor = { 1, 229 };
+  Stop("b", { 1, 157 });
+  CHECK_FALSE(ChooseNextLeader(mMembers, "a", mInherited));
+}
+
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "choice_with_a_log_of_a_later_term_has_the_inherited_commits")
+{
+  mInherited.mFloor = { 1, 229 };
+  Stop("b", { 2, 120 });
+  CHECK(ChooseNextLeader(mMembers, "a", mInherited) == "b");
+}
+
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "choice_after_an_unknown_loss_is_the_primary_only")
+{
+  mInherited.mOnlyPrimaryHasAll = true;
+  Stop("b", { 1, 157 });
+  CHECK_FALSE(ChooseNextLeader(mMembers, "a", mInherited));
+  Stop("a", { 1, 158 });
+  CHECK(ChooseNextLeader(mMembers, "a", mInherited) == "a");
+}
+
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "choice_after_an_unknown_loss_may_be_level_with_the_primary")
+{
+  mInherited.mOnlyPrimaryHasAll = true;
+  Stop("a", { 1, 157 });
+  Stop("b", { 1, 157 });
+  CHECK(ChooseNextLeader(mMembers, "a", mInherited) == "b");
+}
--- a/Tests/Decisions/clLeadershipTest.cxx
+++ b/Tests/Decisions/clLeadershipTest.cxx
@@ -195,6 +195,51 @@
   CHECK_FALSE(mLeadership.FloorSince(At(1001)));
 }
 
+TEST_CASE_FIXTURE(leadership_fixture,
+                  "claim_of_a_replaced_leader_does_not_undo_the_groups_word")
+{
+  // Cut off from the store, the proxy learned from the group that `b` leads;
+  // once back, the directory still has the claim of `a`.
+  mLeadership.OnGroupLeader("b", At(1000));
+  mLeadership.OnClaim("a");
+  CHECK(mLeadership.Leader() == "b");
+  CHECK(mLeadership.IsProvenAt(At(1400)));
+}
+
+TEST_CASE_FIXTURE(leadership_fixture,
+                  "loss_of_a_member_is_unknown_until_the_leaders_end_is_seen")
+{
+  mLeadership.OnRecord({}, At(1000));
+  mLeadership.OnLeaderPosition("a", { 1, 50 }, At(1010));
+  mLeadership.OnMemberLost(At(1020));
+  CHECK(mLeadership.HasUnknownLoss());
+  // Sent before the loss: the lost instance may have confirmed more since.
+  mLeadership.OnLeaderPosition("a", { 1, 55 }, At(1015));
+  CHECK(mLeadership.HasUnknownLoss());
+  mLeadership.OnLeaderPosition("a", { 1, 60 }, At(1030));
+  CHECK_FALSE(mLeadership.HasUnknownLoss());
+  CHECK(mLeadership.LossFloor() == log_position{ 1, 60 });
+}
+
+TEST_CASE_FIXTURE(leadership_fixture,
+                  "loss_is_not_settled_by_an_unproven_leader")
+{
+  mLeadership.OnMemberLost(At(1020));
+  mLeadership.OnLeaderPosition("a", { 1, 60 }, At(1030));
+  CHECK(mLeadership.HasUnknownLoss());
+}
+
+TEST_CASE_FIXTURE(leadership_fixture,
+                  "history_is_unknown_until_the_leaders_end_is_seen")
+{
+  mLeadership.OnFollowed(At(900));
+  CHECK(mLeadership.HasUnknownHistory());
+  mLeadership.OnRecord({}, At(1000));
+  mLeadership.OnLeaderPosition("a", { 1, 50 }, At(1010));
+  CHECK_FALSE(mLeadership.HasUnknownHistory());
+  CHECK(mLeadership.LossFloor() == log_position{});
+}
+
 TEST_CASE("group_leader_with_a_receiving_replica_is_found")
 {
   const auto leader =
