store, settings: renew watches after an outage; bounds come from the installation

CONFIG: a watch that was sent while the store was silent is never heard, although its connection looks sound; its own end came after 10 s, the bound is 3 s. When the store answers again after a failed call, every watch is sent anew (three calls an outage and proxy).

The drain's times follow from the installation's grace, and the pauses of calls to the store from its time for a change; both come through the template with their ranges checked. An unusable bound is logged and its default stays, since a proxy that does not start serves nobody. Whether promotions are fenced is a setting; where they are not, no other instance is ordered for 10 s after an order that got no answer. Where figures come from moves out of the comments.

--- a/Source/Sessions/clSessionSettings.h
+++ b/Source/Sessions/clSessionSettings.h
@@ -2,41 +2,35 @@
 
 #include "clClock.h"
 #include "clLeadership.h"
+#include "clSessionFile.h"
 
 #include <cstdint>
 #include <string>
 
 namespace catkinloom {
 
-/// Limits and pace of session serving.  Units are in the types; where a figure
-/// comes from stands beside it.
+/// Limits and pace of session serving.  Units are in the types;
+/// docs/CONFIGURATION.md says where the figures come from.
 struct session_settings
 {
-  /// Longest line of a caller or an instance.  Source: the platform's pages
-  /// allow messages of 1 MiB.
+  /// Longest line of a caller or an instance.
   std::size_t mMaxLineBytes = 1048576;
-  /// Time to connect to an instance.  Source: a round trip between zones takes
-  /// under 2 ms; a lost first packet is sent again only after a second.
+  /// Time to connect to an instance.
   milliseconds mConnectTimeout{ 250 };
-  /// Time to be accepted by an instance.  Source: a connection costs 12 to 27
-  /// ms of a slot, behind a queue that takes half a second, and some instances
-  /// run five times slower.  An opening that is given up has cost its slot.
+  /// Time to be accepted by an instance.
   milliseconds mAcceptTimeout{ 1500 };
   /// Time for an instance to roll a transaction back.
   milliseconds mRollbackTimeout{ 600 };
-  /// Pause before a statement is offered again to an instance that had too
-  /// much work.  Source: a slot of an instance is free every 4 to 10 ms.
+  /// Pause before a statement is offered again to an instance that had too much
+  /// work.
   milliseconds mBusyPause{ 15 };
   /// Time for a caller to take its answer before it is given up.
   milliseconds mCallerWriteTimeout{ 5000 };
-  /// Longest wait of an opening session for the first desired state.  Source:
-  /// callers give an opening up after 2 s.
+  /// Longest wait of an opening session for the first desired state.
   milliseconds mOpenWait{ 1700 };
   /// Time after which an idle connection is looked at before it is used.
   milliseconds mIdleCheck{ 1000 };
-  /// Time after which a connection that nothing used is closed.  Source: a VM
-  /// that lost power leaves its connections counted for 3 s, so that fewer
-  /// open ones let its successor in at once.
+  /// Time after which a connection that nothing used is closed.
   milliseconds mSpareLifetime{ 2000 };
   /// Pause before an instance that refused a connection is tried again.
   milliseconds mAvoidPause{ 200 };
@@ -46,7 +40,6 @@
   /// Pause before the leader is asked again after it refused to lead.
   milliseconds mLeaderPause{ 60 };
   /// Pause before an instance that should lead is asked again whether it does.
-  /// Source: a promotion takes 600 to 1,000 ms, and a question costs a slot.
   milliseconds mAskLeaderPause{ 300 };
   /// Longest wait for evidence of leadership.
   milliseconds mProofWait{ 400 };
@@ -58,7 +51,7 @@
   /// its keep-alive probes.
   milliseconds mWatchWait{ 10000 };
   /// Pause of a watch after changes, so that those of a moment in which much
-  /// changes come together.  Source: each answer is a call that is paid for.
+  /// changes come together.
   milliseconds mWatchPause{ 100 };
   /// Pause between two complete readings of the store.  A watch goes on where
   /// the last one ended and says when it can't, so that this finds only what
@@ -66,17 +59,14 @@
   milliseconds mListInterval{ 60000 };
   /// Pause after a failed call to the store.
   milliseconds mStoreRetryPause{ 150 };
-  /// The same where nothing is served sooner by asking again.  Source: a change
-  /// must be in force 3 s after the store is back; every call is paid for.
+  /// The same where nothing is served sooner by asking again.
   milliseconds mStoreLongPause{ 600 };
   /// Life of this proxy's registration without renewal.
   milliseconds mRegistrationLifetime{ 6000 };
   milliseconds mRegistrationRenewal{ 2000 };
-  /// Life of a permit's lease without renewal.  Source: it is renewed with
-  /// each evidence, and a quiet proxy can obtain another.
+  /// Life of a permit's lease without renewal.
   milliseconds mPermitLifetime{ 10000 };
   /// Age of an instance's missing entry after which it counts as gone.
-  /// Source: entries are back within two seconds of the store's return.
   milliseconds mEntryGrace{ 2500 };
   /// Silence of the leader under load after which it is probed.
   milliseconds mLeaderSilence{ 250 };
@@ -86,8 +76,6 @@
   /// Time for an instance to answer an order or a question.
   milliseconds mOrderTimeout{ 250 };
   /// Time for an instance that has accepted a connection to answer on it.
-  /// Source: a full queue of an instance takes about half a second, and some
-  /// run five times slower.
   milliseconds mBusyAnswer{ 1500 };
   /// Pace at which the leaders' silence is looked at.
   milliseconds mHealthInterval{ 100 };
@@ -95,8 +83,7 @@
   /// promotion yet.
   milliseconds mAttemptLifetime{ 1500 };
   /// Time since a proxy's last word on a failover in which no other proxy may
-  /// order one.  Source: the platform's duties have leases of 3 s; an order's
-  /// own time-out comes on top.
+  /// order one.
   milliseconds mHolderLease{ 3700 };
   /// Wait for a replica to be level with a leader that stepped down.
   milliseconds mHandOverWait{ 400 };
@@ -107,24 +94,24 @@
   /// Time for which a promotion that got no answer may still be carried out;
   /// it counts only where the platform does not check tokens.
   milliseconds mUnansweredOrderLifetime{ 10000 };
-  /// Longest time for a promotion to take effect.  Source: 600 to 1,000 ms in
-  /// the deployments.
+  /// Longest time for a promotion to take effect.
   milliseconds mPromoteEffect{ 2500 };
-  /// Time in which the balancer takes note that this VM leaves.  Source: it
-  /// asks once a second and acts on the second miss.
+  /// Time in which the balancer takes note that this VM leaves.
   milliseconds mDrainNotice{ 2200 };
-  /// Time in which an open transaction may end after a drain began.  Source:
-  /// half of the platform's grace of 6 s.
+  /// Time in which an open transaction may end after a drain began.
   milliseconds mDrainTransactions{ 3000 };
   /// Quiet time after which a draining proxy ends a session between two
   /// operations.
   milliseconds mDrainQuiet{ 500 };
   /// Time after which no caller is accepted any more.
   milliseconds mDrainAccepting{ 3500 };
-  /// Time after which the process ends, finished or not.  Source: the
-  /// platform's grace of 6 s.
+  /// Time after which the process ends, finished or not.
   milliseconds mDrainTimeout{ 5600 };
   leadership_settings mLeadership;
 };
 
+/// Settings that keep the bounds of an installation.
+session_settings
+SettingsFor(const installation_bounds& aBounds, bool aFencedPromotions);
+
 } // namespace catkinloom
--- a/Source/Sessions/clStateKeeper.cxx
+++ b/Source/Sessions/clStateKeeper.cxx
@@ -132,6 +132,9 @@
       aCause);
   if (aIsReached) {
     mContext.mStoreReached.Raise();
+    for (store_follower* follower : { &mOperator, &mDirectory, &mOwn }) {
+      follower->RenewWatch();
+    }
   }
 }
 
--- a/Source/Sessions/clStoreFollower.cxx
+++ b/Source/Sessions/clStoreFollower.cxx
@@ -71,6 +71,31 @@
   return true;
 }
 
+void
+store_follower::RenewWatch()
+{
+  if (mWatch) {
+    mWatch->mIsGivenUp = true;
+    mWatch->mEnded.Raise();
+  }
+}
+
+std::optional<result<store_changes>>
+store_follower::AwaitChanges(milliseconds aWait)
+{
+  auto watch = std::make_shared<pending_watch>(mContext.mLoop);
+  mWatch = watch;
+  mContext.mLoop.Spawn([this, watch, aWait, from = mWatchFrom] {
+    watch->mAnswer = mContext.mPorts.mStore.Watch(mPrefix, from, aWait);
+    watch->mEnded.Raise();
+  });
+  while (!watch->mAnswer && !watch->mIsGivenUp) {
+    watch->mEnded.WaitUntil(mContext.Now() + aWait);
+  }
+  mWatch.reset();
+  return std::move(watch->mAnswer);
+}
+
 bool
 store_follower::Watch()
 {
@@ -81,7 +106,11 @@
   if (wait <= milliseconds(0)) {
     return false;
   }
-  const auto changes = mContext.mPorts.mStore.Watch(mPrefix, mWatchFrom, wait);
+  const auto answer = AwaitChanges(wait);
+  if (!answer) {
+    return true;
+  }
+  const result<store_changes>& changes = *answer;
   mOnReach(bool(changes), changes ? "" : changes.error().mDetail);
   if (!changes) {
     PauseAfterFailure();
--- a/Source/Sessions/clStoreFollower.h
+++ b/Source/Sessions/clStoreFollower.h
@@ -3,6 +3,8 @@
 #include "clSessionContext.h"
 
 #include <functional>
+#include <memory>
+#include <optional>
 #include <string>
 
 namespace catkinloom {
@@ -44,9 +46,28 @@
   /// A complete listing was taken.
   bool HasListed() const { return mHasListed; }
 
+  /// Sends the present watch anew.  A watch that was sent while the store did
+  /// not answer may never be heard, although its connection looks sound.
+  void RenewWatch();
+
 private:
+  /// A watch on its way, in a fiber of its own so that it can be given up.
+  struct pending_watch
+  {
+    explicit pending_watch(event_loop& aLoop)
+      : mEnded(aLoop)
+    {
+    }
+
+    fiber_signal mEnded;
+    std::optional<result<store_changes>> mAnswer;
+    bool mIsGivenUp = false;
+  };
+
   bool List();
   bool Watch();
+  /// The answer of a watch; empty when it was given up for a new one.
+  std::optional<result<store_changes>> AwaitChanges(milliseconds aWait);
   void PauseAfterFailure();
 
   session_context& mContext;
@@ -56,6 +77,7 @@
   list_handler mOnList;
   change_handler mOnChange;
   reach_handler mOnReach;
+  std::shared_ptr<pending_watch> mWatch;
   store_revision mWatchFrom = 0;
   time_point mListedAt;
   bool mHasListed = false;
--- a/Source/Settings/clSessionFile.cxx
+++ b/Source/Settings/clSessionFile.cxx
@@ -2,10 +2,16 @@
 
 #include "clYamlMapping.h"
 
+#include <fmt/format.h>
+
 namespace catkinloom {
 
 namespace {
 
+/// Bounds that an installation may ask for.
+constexpr milliseconds kLeastBound{ 500 };
+constexpr milliseconds kMostBound{ 600000 };
+
 result<void>
 ReadAddresses(const yaml_mapping& aRoot, session_file& aFile)
 {
@@ -13,13 +19,43 @@
                     aRoot.Mapping("store", { "address" }));
   BOOST_OUTCOME_TRY(aFile.mStore, store.Text("address"));
   BOOST_OUTCOME_TRY(const yaml_mapping promotions,
-                    aRoot.Mapping("promotions", { "address" }));
+                    aRoot.Mapping("promotions", { "address", "fenced" }));
+  BOOST_OUTCOME_TRY(aFile.mFencedPromotions,
+                    promotions.Flag("fenced", aFile.mFencedPromotions));
   if (promotions.Has("address")) {
     BOOST_OUTCOME_TRY(aFile.mPromotions, promotions.Text("address"));
   }
   return boost::outcome_v2::success();
 }
 
+/// Takes a bound if it can be used.  The platform fills the bounds in, so that
+/// a bad one must not keep the proxy from serving: its default stays.
+void
+ReadBound(const yaml_mapping& aBounds,
+          std::string_view aKey,
+          milliseconds& aBound,
+          std::vector<std::string>& aWarnings)
+{
+  const auto bound = aBounds.Duration(aKey, kLeastBound, kMostBound, aBound);
+  if (bound) {
+    aBound = bound.value();
+    return;
+  }
+  aWarnings.push_back(
+    fmt::format("{} {}ms is used.", bound.error().mDetail, aBound.count()));
+}
+
+result<void>
+ReadBounds(const yaml_mapping& aRoot, session_file& aFile)
+{
+  BOOST_OUTCOME_TRY(const yaml_mapping bounds,
+                    aRoot.Mapping("bounds", { "grace", "change_in_force" }));
+  ReadBound(bounds, "grace", aFile.mBounds.mGrace, aFile.mWarnings);
+  ReadBound(
+    bounds, "change_in_force", aFile.mBounds.mChangeInForce, aFile.mWarnings);
+  return boost::outcome_v2::success();
+}
+
 result<void>
 ReadListen(const yaml_mapping& aRoot, session_file& aFile)
 {
@@ -54,11 +90,12 @@
       aFile,
       node,
       error_kind::BadSettings,
-      { "name", "zone", "listen", "store", "promotions", "log" }));
+      { "name", "zone", "listen", "store", "promotions", "bounds", "log" }));
   session_file file;
   BOOST_OUTCOME_TRY(ReadNames(root, file));
   BOOST_OUTCOME_TRY(ReadListen(root, file));
   BOOST_OUTCOME_TRY(ReadAddresses(root, file));
+  BOOST_OUTCOME_TRY(ReadBounds(root, file));
   return file;
 }
 
--- a/Source/Settings/clSessionFile.h
+++ b/Source/Settings/clSessionFile.h
@@ -4,9 +4,19 @@
 #include "clError.h"
 
 #include <string>
+#include <vector>
 
 namespace catkinloom {
 
+/// Times that the installation promises or asks for.
+struct installation_bounds
+{
+  /// From the signal to end until the process is killed.
+  milliseconds mGrace{ 6000 };
+  /// From a change of the desired state until it is in force.
+  milliseconds mChangeInForce{ 3000 };
+};
+
 /// What a session proxy is told at its start.
 struct session_file
 {
@@ -20,6 +30,11 @@
   std::string mStore;
   /// Where promotions are ordered; empty when none can be.
   std::string mPromotions;
+  /// The platform refuses a promotion whose token is older than another's.
+  bool mFencedPromotions = true;
+  installation_bounds mBounds;
+  /// Values that could not be used and what is used instead.
+  std::vector<std::string> mWarnings;
   std::string mLogLevel = "decision";
 };
 
--- a/Source/Settings/clYamlMapping.cxx
+++ b/Source/Settings/clYamlMapping.cxx
@@ -49,16 +49,21 @@
 std::optional<milliseconds>
 ParseDuration(std::string_view aText)
 {
-  std::int64_t count = 0;
+  constexpr double kMostCount = 1e9;
+  double count = 0;
   const char* end = aText.data() + aText.size();
-  const auto [stop, failure] = std::from_chars(aText.data(), end, count);
-  if (failure != std::errc{} || count < 0 || count > 1000000000) {
+  const auto [stop, failure] =
+    std::from_chars(aText.data(), end, count, std::chars_format::fixed);
+  // Written so that it is false for what is not a number.
+  const bool isInRange = count >= 0 && count <= kMostCount;
+  if (failure != std::errc{} || !isInRange) {
     return std::nullopt;
   }
   const std::string_view suffix(stop, static_cast<std::size_t>(end - stop));
   for (const duration_unit& unit : kDurationUnits) {
     if (unit.mSuffix == suffix) {
-      return unit.mUnit * count;
+      const std::chrono::duration<double, std::milli> time = unit.mUnit * count;
+      return std::chrono::round<milliseconds>(time);
     }
   }
   return std::nullopt;
@@ -252,7 +257,7 @@
                       std::vector<std::string_view> aAllowed) const
 {
   const YAML::Node* node = Find(aKey);
-  if (node == nullptr) {
+  if (node == nullptr || node->IsNull()) {
     yaml_mapping empty;
     empty.mFile = mFile;
     empty.mMark = mMark;
--- a/Source/Settings/clYamlMapping.h
+++ b/Source/Settings/clYamlMapping.h
@@ -83,7 +83,7 @@
 result<std::string>
 ReadFile(const std::string& aFile, error_kind aKind);
 
-/// Reads `250ms`, `2s` or `5m`.
+/// Reads `250ms`, `2.5s` or `5m`.
 std::optional<milliseconds>
 ParseDuration(std::string_view aText);
 
--- a/StandIns/fleet_stand_in.py
+++ b/StandIns/fleet_stand_in.py
@@ -417,6 +417,10 @@
         elif self.store.mode == "silent":
             await asyncio.sleep(5)
             return False
+        elif self.store.mode == "mute":
+            # The connection stays sound, and nothing is ever answered on it.
+            await asyncio.sleep(60)
+            return False
         elif self.store.mode == "busy":
             status, answer = 503, {}
         else:
--- a/Tests/Processes/test_sessions.py
+++ b/Tests/Processes/test_sessions.py
@@ -135,6 +135,20 @@
         time.sleep(0.3)
         self.assertEqual(self.caller("current").read("x"), "-")
 
+    def test_change_after_an_outage_is_in_force_in_time(self):
+        """A watch that was sent into the outage is never heard."""
+        self.fleet.declare(5, ROUTES)  # each proxy sends a new watch
+        self.fleet.store.mode = "mute"
+        time.sleep(3)
+        self.fleet.store.mode = "up"
+        self.fleet.declare(7, {**ROUTES, "added": "primary"})
+        for proxy in self.proxies:
+            def opens(proxy=proxy):
+                caller = Caller(proxy, "added")
+                caller.close()
+                return caller.opening.startswith("READY")
+            self.assertLess(wait_until(opens), 3)
+
     def test_opening_after_a_restart_waits_for_the_store(self):
         proxy = self.proxies[0]
         self.fleet.store.mode = "busy"
--- /dev/null
+++ b/Tests/Sessions/clSessionSettingsTest.cxx
@@ -0,0 +1,71 @@
+#include "clSessionSettings.h"
+
+#include <doctest/doctest.h>
+
+using namespace catkinloom;
+
+namespace {
+
+/// The settings file of a session proxy, with bounds of an installation.
+struct session_settings_fixture
+{
+  session_file Read(const std::string& aRest) const
+  {
+    const auto file = ReadSessionFile(
+      "settings.yaml",
+      "name: p\nzone: a\nlisten: {callers: 1.1.1.1:1, ready: 1.1.1.1:2, "
+      "metrics: 1.1.1.1:3}\nstore: {address: 1.1.1.1:4}\n" +
+        aRest);
+    REQUIRE(file);
+    return file.value();
+  }
+
+  session_settings SettingsOf(const std::string& aRest) const
+  {
+    const session_file file = Read(aRest);
+    return SettingsFor(file.mBounds, file.mFencedPromotions);
+  }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(session_settings_fixture,
+                  "session_settings_end_within_half_and_double_the_grace")
+{
+  for (const char* grace : { "3s", "6s", "12s" }) {
+    const auto text = "bounds: {grace: " + std::string(grace) + "}\n";
+    const session_settings settings = SettingsOf(text);
+    const milliseconds bound = Read(text).mBounds.mGrace;
+    CHECK(settings.mDrainTimeout < bound);
+    CHECK(settings.mDrainTransactions <= bound / 2);
+    CHECK(settings.mDrainAccepting <= settings.mDrainTimeout);
+    CHECK(settings.mDrainNotice <= settings.mDrainAccepting);
+  }
+}
+
+TEST_CASE_FIXTURE(session_settings_fixture,
+                  "session_settings_of_a_short_change_pause_less")
+{
+  const session_settings settings =
+    SettingsOf("bounds: {change_in_force: 1.5s}\n");
+  CHECK(settings.mStoreLongPause == milliseconds(300));
+  CHECK(SettingsOf("bounds:\n").mStoreLongPause == milliseconds(600));
+}
+
+TEST_CASE_FIXTURE(session_settings_fixture,
+                  "session_settings_with_unusable_bounds_warn_and_use_defaults")
+{
+  for (const char* bad : { "0s", "-3s", "nans", "1e99s", "true", "[1]", "~" }) {
+    const session_file file =
+      Read("bounds: {grace: " + std::string(bad) + "}\n");
+    CHECK(file.mBounds.mGrace == milliseconds(6000));
+    CHECK(file.mWarnings.size() == 1);
+  }
+}
+
+TEST_CASE_FIXTURE(session_settings_fixture,
+                  "session_settings_without_a_fence_say_so")
+{
+  CHECK(SettingsOf("").mFencedPromotions);
+  CHECK_FALSE(SettingsOf("promotions: {fenced: false}\n").mFencedPromotions);
+}
