failover: end an attempt that another took over; leave a stuck leader only for one that may lead

Now an attempt ends when a newer record is seen, a busy leader is no reason by itself, and the leader is chosen again where nobody else may lead.

--- a/Source/Sessions/clFailoverAttempt.cxx
+++ b/Source/Sessions/clFailoverAttempt.cxx
@@ -113,7 +113,7 @@
   if (!WriteRecord()) {
     return false;
   }
-  while (Now() < mGiveUpAt) {
+  while (IsUnderWay()) {
     const auto chosen = PrepareNextLeader();
     if (!chosen) {
       mContext.mLoop.Sleep(mContext.mSettings.mLeaderPause);
@@ -137,6 +137,32 @@
   return false;
 }
 
+bool
+failover_attempt::IsUnderWay() const
+{
+  const failover_record& newest = mGroup.Leadership().Record();
+  return Now() < mGiveUpAt && newest.mRevision <= mRecord.mRevision;
+}
+
+void
+failover_attempt::LogNoCandidate()
+{
+  if (mHasLoggedNoCandidate) {
+    return;
+  }
+  mHasLoggedNoCandidate = true;
+  const inherited_commits inherited = Inherited();
+  Log(log_level::Info,
+      "failover",
+      "No instance may lead without loss yet. service={} floor={}.{} "
+      "unknown_loss={} unanswered_orders={}",
+      mGroup.Service(),
+      inherited.mFloor.mTerm,
+      inherited.mFloor.mIndex,
+      inherited.mOnlyPrimaryHasAll,
+      mUnanswered.size());
+}
+
 std::optional<std::string>
 failover_attempt::PrepareNextLeader()
 {
@@ -145,15 +171,7 @@
   }
   if (!Choose()) {
     StepPrimaryDown();
-    Log(log_level::Info,
-        "failover",
-        "No instance may lead without loss yet. service={} floor={}.{} "
-        "unknown_loss={} unanswered_orders={}",
-        mGroup.Service(),
-        Inherited().mFloor.mTerm,
-        Inherited().mFloor.mIndex,
-        mGroup.Leadership().HasUnknownLoss(),
-        mUnanswered.size());
+    LogNoCandidate();
     return std::nullopt;
   }
   // A leader that still answers must not go on with instances that this proxy
@@ -233,7 +251,7 @@
 bool
 failover_attempt::StopCommits()
 {
-  while (Now() < mGiveUpAt) {
+  while (IsUnderWay()) {
     // An instance that has left can confirm nothing any more.
     std::erase_if(mMembers, [&](const failover_member& aMember) {
       return aMember.mId != mPrimary && !mGroup.Find(aMember.mId);
@@ -334,7 +352,7 @@
 bool
 failover_attempt::EndPermits()
 {
-  while (!mPermitsEndedAt && Now() < mGiveUpAt) {
+  while (!mPermitsEndedAt && IsUnderWay()) {
     const auto ended = EndEveryPermit(mContext);
     if (ended) {
       mPermitsEndedAt = Now();
@@ -401,14 +419,18 @@
   if (answers) {
     return ordered;
   }
-  std::vector<failover_member> candidates = mMembers;
+  std::optional<std::string> chosen;
   // A primary that reaches no replica would be just as stuck afterwards.
   if (MayLeaveThePrimary()) {
-    std::erase_if(candidates, [this](const failover_member& aMember) {
+    std::vector<failover_member> others = mMembers;
+    std::erase_if(others, [this](const failover_member& aMember) {
       return aMember.mId == mPrimary;
     });
+    chosen = ChooseNextLeader(others, mPrimary, inherited);
+  }
+  if (!chosen) {
+    chosen = ChooseNextLeader(mMembers, mPrimary, inherited);
   }
-  auto chosen = ChooseNextLeader(candidates, mPrimary, inherited);
   if (chosen && MayBeOvertaken(*chosen)) {
     return std::nullopt;
   }
--- a/Source/Sessions/clFailoverAttempt.h
+++ b/Source/Sessions/clFailoverAttempt.h
@@ -56,9 +56,12 @@
   bool Run();
 
 private:
+  /// There is time left, and no other proxy has taken the record over.
+  bool IsUnderWay() const;
   bool WriteRecord();
   /// Stops commits and chooses; empty when no instance may lead safely yet.
   std::optional<std::string> PrepareNextLeader();
+  void LogNoCandidate();
   bool StopCommits();
   void StopOnce();
   void TakeAnswer(upstream_instance& aInstance,
@@ -111,6 +114,7 @@
   /// When the last proxy's permit was ended; empty until then.
   std::optional<time_point> mPermitsEndedAt;
   time_point mGiveUpAt;
+  bool mHasLoggedNoCandidate = false;
 };
 
 } // namespace catkinloom
--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -137,16 +137,17 @@
     return true;
   }
   const auto own = aGroup.Order(*leader, instance_order::Status, 0);
-  if (!own || !own.value().mLeads) {
+  if (own && !own.value().mLeads) {
     return true;
   }
-  const log_position end = own.value().mReceived;
   const log_position floor = aGroup.Leadership().Record().mFloor;
   const auto others = OthersThan(aGroup, leader->mEntry.mId);
   const auto answers = aGroup.OrderEach(others, AskStatus, 0);
   bool hasSuccessor = false;
   for (const auto& answer : answers) {
-    const bool isUpToDate = answer && answer.value().mReceived >= end;
+    // Commits that wait may fill the leader's slots, so that it can't answer.
+    const bool isUpToDate =
+      own && answer && answer.value().mReceived >= own.value().mReceived;
     if (!answer || isUpToDate) {
       return false;
     }
