--- a/Source/Sessions/clSessionSettings.h
+++ b/Source/Sessions/clSessionSettings.h
@@ -32,6 +32,8 @@
   milliseconds mIdleCheck{ 1000 };
   /// Time after which a connection that nothing used is closed.
   milliseconds mSpareLifetime{ 2000 };
+  /// The same for connections beyond the usual share of an instance's limit.
+  milliseconds mExtraLifetime{ 200 };
   /// Pause before an instance that refused a connection is tried again.
   milliseconds mAvoidPause{ 200 };
   /// Time for which a replica that lacked a position is not asked for newer
--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -62,21 +62,6 @@
   return 0;
 }
 
-std::uint32_t
-upstream_group::LargestShare() const
-{
-  const std::uint32_t proxies = std::max(mEnvironment.mProxies, 1U);
-  return std::max(mDeclared.mMaxConnections / proxies, 1U);
-}
-
-std::uint32_t
-upstream_group::UsualShare() const
-{
-  // The other half is for proxies that come back while the connections of
-  // their former life still count.
-  return std::max(LargestShare() / 2, 1U);
-}
-
 void
 upstream_group::MarkGone(upstream_instance& aInstance)
 {
@@ -168,7 +153,7 @@
 std::vector<instance_candidate>
 upstream_group::Candidates(bool aMayStretch) const
 {
-  const std::uint32_t share = aMayStretch ? LargestShare() : UsualShare();
+  const std::uint32_t share = aMayStretch ? Share().mLargest : Share().mUsual;
   const time_point now = Now();
   std::vector<instance_candidate> candidates;
   candidates.reserve(mInstances.size());
@@ -444,9 +429,12 @@
   upstream_instance& instance = *aLoan.mInstance;
   --instance.mInFlight;
   const bool keep = aLoan.mConnection->IsOpen() && !instance.mGone &&
-                    instance.mOpen <= LargestShare();
+                    instance.mOpen <= Share().mLargest;
   if (keep) {
     instance.mIdle.push_back(std::move(aLoan.mConnection));
+    if (instance.mOpen > Share().mUsual) {
+      ScheduleClosing();
+    }
   } else {
     --instance.mOpen;
   }
@@ -647,20 +635,55 @@
   WakeAll();
 }
 
+bool
+upstream_group::CloseSparesOf(upstream_instance& aInstance)
+{
+  const session_settings& settings = mEnvironment.mSettings;
+  const time_point now = Now();
+  std::vector<nanoseconds> idleFor;
+  idleFor.reserve(aInstance.mIdle.size());
+  // The front is the one that was used least lately.
+  for (const auto& connection : aInstance.mIdle) {
+    idleFor.push_back(now - connection->mUsedAt);
+  }
+  const std::size_t spares =
+    CountSpares(idleFor,
+                aInstance.mOpen,
+                Share(),
+                { settings.mSpareLifetime, settings.mExtraLifetime });
+  aInstance.mIdle.erase(aInstance.mIdle.begin(),
+                        aInstance.mIdle.begin() +
+                          static_cast<std::ptrdiff_t>(spares));
+  aInstance.mOpen -= static_cast<std::uint32_t>(spares);
+  return !aInstance.mIdle.empty() && aInstance.mOpen > Share().mUsual;
+}
+
 void
 upstream_group::CloseSpares()
 {
-  const time_point oldest = Now() - mEnvironment.mSettings.mSpareLifetime;
   for (const auto& instance : mInstances) {
-    const auto isSpare = [&](const auto& aConnection) {
-      return instance->mOpen > 1 && aConnection->mUsedAt < oldest;
-    };
-    // The front is the one that was used least lately.
-    while (!instance->mIdle.empty() && isSpare(instance->mIdle.front())) {
-      instance->mIdle.erase(instance->mIdle.begin());
-      --instance->mOpen;
-    }
+    CloseSparesOf(*instance);
+  }
+}
+
+void
+upstream_group::ScheduleClosing()
+{
+  if (mIsClosingScheduled) {
+    return;
   }
+  mIsClosingScheduled = true;
+  mEnvironment.mLoop.Spawn([this] {
+    bool isMoreExpected = true;
+    while (isMoreExpected) {
+      mEnvironment.mLoop.Sleep(mEnvironment.mSettings.mExtraLifetime);
+      isMoreExpected = false;
+      for (const auto& instance : mInstances) {
+        isMoreExpected = CloseSparesOf(*instance) || isMoreExpected;
+      }
+    }
+    mIsClosingScheduled = false;
+  });
 }
 
 void
--- a/Source/Sessions/clUpstreamGroup.h
+++ b/Source/Sessions/clUpstreamGroup.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clConcurrencyLimit.h"
+#include "clConnectionShare.h"
 #include "clDesiredState.h"
 #include "clEventLoop.h"
 #include "clFiberSignal.h"
@@ -164,7 +165,7 @@
 
   void CloseIdle();
 
-  /// Closes connections that nothing has used for a while; one stays.
+  /// Closes connections that nothing has used for a while.
   void CloseSpares();
 
 private:
@@ -188,10 +189,15 @@
   /// aMayStretch: connections kept for returning proxies may be opened too.
   std::vector<instance_candidate> Candidates(bool aMayStretch) const;
   placement Select(const placement_need& aNeed, time_point aNow) const;
-  /// Connections to one instance that this proxy may hold at all.
-  std::uint32_t LargestShare() const;
-  /// Connections that it holds unless statements would wait.
-  std::uint32_t UsualShare() const;
+  connection_share Share() const
+  {
+    return ShareOf(mDeclared.mMaxConnections, mEnvironment.mProxies);
+  }
+  /// Closes the spares of one instance; true when others may become spare soon.
+  bool CloseSparesOf(upstream_instance& aInstance);
+  /// Closes connections beyond the usual share once they were idle for long
+  /// enough.
+  void ScheduleClosing();
   std::unique_ptr<statement_connection> TakeIdle(upstream_instance& aInstance,
                                                  const session_state& aSession);
   /// Opens a connection in a fiber of its own, for whoever waits first: a slow
@@ -222,6 +228,7 @@
   fiber_signal mChanged;
   std::list<waiting_loan> mWaiting;
   bool mAsking = false;
+  bool mIsClosingScheduled = false;
   bool mAskingLeader = false;
   /// The leader is not asked again before.
   time_point mAskLeaderAt;
