--- a/Source/Sessions/clFailoverAttempt.cxx
+++ b/Source/Sessions/clFailoverAttempt.cxx
@@ -120,7 +120,7 @@
       continue;
     }
     mRecord.mCommitsStopped = true;
-    mRecord.mFloor = MemberOf(*chosen).mPosition;
+    mRecord.mFloor = std::max(Inherited().mFloor, MemberOf(*chosen).mPosition);
     mGroup.Leadership().OnCommitsStopped(mRecord.mFloor, mStoppedAt);
     AwaitEvidenceLapse();
     if (!AreCommitsStillStopped() || !IsStillEligible(*chosen)) {
@@ -313,8 +313,14 @@
   if (aAnswer) {
     const instance_status& status = aAnswer.value();
     const bool isHold = aOrder == instance_order::Hold;
-    // A leader that began anew without its log holds none of its commits.
-    hasLog = isHold || status.mReceived >= aInstance.mFormerEnd;
+    // The directory may not tell yet that an instance began anew without its
+    // log: a leader's stop is then worth nothing, and of the others one may
+    // have held the only copy of a commit.
+    hasLog =
+      status.mReceived >= std::max(aInstance.mFormerEnd, aInstance.mPosition);
+    if (!hasLog && isHold) {
+      mGroup.Leadership().OnMemberLost(Now());
+    }
     member.mStopped = !isHold && !status.mLeads && hasLog;
     member.mHeldTerm = isHold ? status.mHeldTerm : 0;
     member.mTerm = status.mTerm;
@@ -416,7 +422,9 @@
         return aMember.mId == *ordered && aMember.mStopped &&
                aMember.mPosition >= inherited.mFloor;
       });
-  if (answers) {
+  // Where tokens are checked, the order given again ends the former one, also
+  // when it is refused; until then another leader could be overtaken by it.
+  if (answers || (ordered && mContext.mSettings.mFencedPromotions)) {
     return ordered;
   }
   std::optional<std::string> chosen;
@@ -465,7 +473,7 @@
       member.mId = instance->mEntry.mId;
     }
   }
-  JudgeHolds(mMembers);
+  RecheckHolds();
   if (IsStopped()) {
     return true;
   }
@@ -476,9 +484,35 @@
   return false;
 }
 
+void
+failover_attempt::RecheckHolds()
+{
+  auto held = mGroup.Instances();
+  std::erase_if(held, [this](const auto& aInstance) {
+    return MemberOf(aInstance->mEntry.mId).mHeldTerm == 0;
+  });
+  const auto answers = mGroup.OrderEach(held, AskStatus, 0);
+  for (std::size_t i = 0; i < held.size(); ++i) {
+    failover_member& member = MemberOf(held[i]->mEntry.mId);
+    // It may have been let go and held again by another proxy meanwhile.
+    const bool isSame =
+      !answers[i] || (answers[i].value().mHeldTerm >= member.mHeldTerm &&
+                      answers[i].value().mReceived == member.mPosition);
+    if (!isSame) {
+      member.mHeldTerm = 0;
+      member.mStopped = false;
+    }
+  }
+  JudgeHolds(mMembers);
+}
+
 bool
 failover_attempt::IsStillEligible(const std::string& aChosen)
 {
+  if (OnlyOrdered(mRecord.mPossibleLeaders) == aChosen) {
+    // Its former order may be carried out whether it is asked or not.
+    return true;
+  }
   const auto instance = mGroup.Find(aChosen);
   failover_member& member = MemberOf(aChosen);
   if (instance) {
@@ -569,8 +603,17 @@
   if (end == promotion_end::Unknown) {
     mUnanswered.push_back(aChosen);
     mUnansweredSince = Now();
-  } else if (std::find(mUnanswered.begin(), mUnanswered.end(), aChosen) ==
-             mUnanswered.end()) {
+    mContext.mLoop.Sleep(kOrderPause);
+    return false;
+  }
+  if (end == promotion_end::Refused && settings.mFencedPromotions) {
+    // The platform has seen this token and refuses the former order as well.
+    std::erase(mUnanswered, aChosen);
+  }
+  const bool isUnanswered =
+    std::find(mUnanswered.begin(), mUnanswered.end(), aChosen) !=
+    mUnanswered.end();
+  if (!isUnanswered) {
     std::erase(mayLead, aChosen);
   }
   if (end == promotion_end::Refused) {
--- a/Source/Sessions/clFailoverAttempt.h
+++ b/Source/Sessions/clFailoverAttempt.h
@@ -73,6 +73,9 @@
   void AwaitEvidenceLapse();
   /// Commits are still stopped with the instances that the directory has now.
   bool AreCommitsStillStopped();
+  /// Asks the held instances whether they still are: an order of an earlier
+  /// holder may have let one go.
+  void RecheckHolds();
   /// The chosen instance still lives the life in which it was stopped, with
   /// its log.
   bool IsStillEligible(const std::string& aChosen);
