tests: a promoted leader that is lost next is waited for

Real processes: the primary crashes while a replica hears nothing, the promoted instance goes dark, the first leaves the directory. With the inherited floor left out of the choice the deaf replica is promoted and the test fails.

--- a/StandIns/fleet_stand_in.py
+++ b/StandIns/fleet_stand_in.py
@@ -121,6 +121,8 @@
         self.commit_delay_s = 0
         self.read_delay_s = 0
         self.cut_from_group = False
+        #: It receives nothing from its leader.
+        self.deaf = False
         #: Connections beyond which a new one is refused.
         self.max_connections = 1000
         self.runs = []
@@ -182,7 +184,7 @@
         return True
 
     def receive(self, leader):
-        apart = self.cut_from_group or leader.cut_from_group
+        apart = self.cut_from_group or leader.cut_from_group or self.deaf
         if apart or self.mode != "up" or self.held > leader.term or \
                 self.leads or leader.term < self.term:
             return False
@@ -379,7 +381,7 @@
             other.held = 0
         chosen.leads, chosen.term = True, term
         for other in self.instances.values():
-            if other is not chosen and other.mode == "up":
+            if other is not chosen and other.mode == "up" and not other.deaf:
                 other.term = term
                 other.log = list(chosen.log)
         await chosen.register()
--- a/Tests/Processes/test_sessions.py
+++ b/Tests/Processes/test_sessions.py
@@ -184,6 +184,24 @@
                 return False
         return wait_until(done, seconds)
 
+    def keep_writing(self, item):
+        """Files writes until the test ends; only who writes sees a loss."""
+        ended = threading.Event()
+
+        def write():
+            while not ended.is_set():
+                try:
+                    caller = Caller(self.proxies[0], "current", timeout=2)
+                    caller.write(item, "1")
+                    caller.close()
+                except OSError:
+                    pass
+                time.sleep(0.02)
+        thread = threading.Thread(target=write, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join, 5)
+        self.addCleanup(ended.set)
+
     def replace(self, lose):
         caller = self.caller("current")
         for number in range(20):
@@ -220,6 +238,29 @@
             wait_until(lambda: not instance.leads)
         self.assertLess(self.replace(drain), 3)
 
+    def test_promoted_leader_lost_next_is_waited_for(self):
+        """Found by a hunt (seed 777960391952): the promoted instance alone
+        held what it inherited, and the deaf replica was promoted instead."""
+        first, second, third = self.fleet.instances.values()
+        self.write_until_done(
+            lambda: Caller(self.proxies[1], "current"), "x", "1")
+        third.deaf = True
+        self.write_until_done(
+            lambda: Caller(self.proxies[1], "current"), "x", "2")
+        time.sleep(3)  # the directory must be known to be whole
+        self.keep_writing("z")
+        self.fleet.run(first.crash())
+        wait_until(lambda: second.leads)
+        second.mode = "dark"
+        self.fleet.run(self.fleet.store.delete("servers/" + first.ident))
+        time.sleep(7)
+        self.assertNotIn(third.ident, [p[2] for p in self.fleet.promotions])
+        third.deaf = False
+        second.mode = "up"
+        self.write_until_done(
+            lambda: Caller(self.proxies[1], "current"), "y", "1", 12)
+        self.assertEqual(self.caller("current", 1).read("x"), "2")
+
     def test_leader_again_without_news_in_the_directory_is_used(self):
         """Found by the soak, seed 25: an instance that was out of reach when
         it lost the lead never told the directory, so that its entry does not
