failover: do not wait after an outage for entries that are all there

Now the directory is read as a whole when the store is back, and a group that was known before the outage and misses no entry is looked after at once. Ruled out: a shorter wait for all, which would take an instance whose entry lapsed for gone.

--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -27,13 +27,13 @@
     const bool stalled =
       now - mLookedAt > mContext.mSettings.mHealthInterval + kOwnStall;
     mLookedAt = now;
-    if (stalled || !IsDirectoryWhole(now)) {
+    if (stalled) {
       continue;
     }
     for (const auto& [service, group] : mContext.mGroups) {
       const bool declared =
         mContext.mDesired && mContext.mDesired->mServices.count(service) > 0;
-      if (declared) {
+      if (declared && IsDirectoryWhole(*group, now)) {
         Look(*group, now);
       }
     }
@@ -41,10 +41,17 @@
 }
 
 bool
-failover_runner::IsDirectoryWhole(time_point aNow) const
+failover_runner::IsDirectoryWhole(const upstream_group& aGroup,
+                                  time_point aNow) const
 {
   const auto& since = mContext.mStoreReachedSince;
-  return since && aNow - *since >= mContext.mSettings.mEntryGrace;
+  if (!since) {
+    return false;
+  }
+  const auto& listedAt = mContext.mDirectoryListedAt;
+  const bool isReadSince = listedAt && *listedAt >= *since;
+  return (isReadSince && aGroup.IsWholeSince(*since)) ||
+         aNow - *since >= mContext.mSettings.mEntryGrace;
 }
 
 void
--- a/Source/Sessions/clFailoverRunner.h
+++ b/Source/Sessions/clFailoverRunner.h
@@ -32,9 +32,9 @@
   };
 
   void Look(upstream_group& aGroup, time_point aNow);
-  /// Every living instance is in the directory: entries that lapsed with the
-  /// store have had time to come back.
-  bool IsDirectoryWhole(time_point aNow) const;
+  /// Every living instance of the group is in the directory: none lapsed with
+  /// the store, or those that did have had time to come back.
+  bool IsDirectoryWhole(const upstream_group& aGroup, time_point aNow) const;
   std::optional<failover_reason> ReasonFor(upstream_group& aGroup,
                                            group_watch& aWatch,
                                            time_point aNow) const;
--- a/Source/Sessions/clSessionContext.h
+++ b/Source/Sessions/clSessionContext.h
@@ -83,6 +83,8 @@
   /// Since when the store has answered without a break; empty while it does
   /// not.
   std::optional<time_point> mStoreReachedSince;
+  /// When the directory was last read as a whole; empty if it never was.
+  std::optional<time_point> mDirectoryListedAt;
   /// Raised when the store answers again.
   fiber_signal mStoreReached;
   bool mDraining = false;
--- a/Source/Sessions/clStateKeeper.cxx
+++ b/Source/Sessions/clStateKeeper.cxx
@@ -62,6 +62,7 @@
           ApplyInstance(item, false);
         }
         PushInstances();
+        mContext.mDirectoryListedAt = mContext.Now();
       },
       [this](const std::vector<store_event>& aEvents) {
         for (const store_event& event : aEvents) {
@@ -132,9 +133,10 @@
       aCause);
   if (aIsReached) {
     mContext.mStoreReached.Raise();
-    for (store_follower* follower : { &mOperator, &mDirectory, &mOwn }) {
-      follower->RenewWatch();
-    }
+    mOperator.RenewWatch();
+    mOwn.RenewWatch();
+    // Who is still there decides whether a lost leader may be replaced.
+    mDirectory.ListAnew();
   }
 }
 
--- a/Source/Sessions/clStoreFollower.cxx
+++ b/Source/Sessions/clStoreFollower.cxx
@@ -64,6 +64,7 @@
     return false;
   }
   mFailures = 0;
+  mMustList = false;
   mOnList(listing.value());
   mWatchFrom = listing.value().mAsOf;
   mListedAt = sentAt;
@@ -80,6 +81,13 @@
   }
 }
 
+void
+store_follower::ListAnew()
+{
+  mMustList = true;
+  RenewWatch();
+}
+
 std::optional<result<store_changes>>
 store_follower::AwaitChanges(milliseconds aWait)
 {
@@ -108,7 +116,7 @@
   }
   const auto answer = AwaitChanges(wait);
   if (!answer) {
-    return true;
+    return !mMustList;
   }
   const result<store_changes>& changes = *answer;
   mOnReach(bool(changes), changes ? "" : changes.error().mDetail);
--- a/Source/Sessions/clStoreFollower.h
+++ b/Source/Sessions/clStoreFollower.h
@@ -50,6 +50,9 @@
   /// not answer may never be heard, although its connection looks sound.
   void RenewWatch();
 
+  /// Reads every key anew.
+  void ListAnew();
+
 private:
   /// A watch on its way, in a fiber of its own so that it can be given up.
   struct pending_watch
@@ -81,6 +84,7 @@
   store_revision mWatchFrom = 0;
   time_point mListedAt;
   bool mHasListed = false;
+  bool mMustList = false;
 };
 
 } // namespace catkinloom
--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -51,6 +51,19 @@
   return Find(mLeadership.Leader());
 }
 
+bool
+upstream_group::IsWholeSince(time_point aMoment) const
+{
+  const bool isOldEnough =
+    mFollowedSince &&
+    *mFollowedSince + mEnvironment.mSettings.mEntryGrace <= aMoment;
+  return isOldEnough && std::none_of(mInstances.begin(),
+                                     mInstances.end(),
+                                     [](const auto& aInstance) {
+                                       return aInstance->mMissingSince;
+                                     });
+}
+
 std::uint32_t
 upstream_group::BitOf(const upstream_instance& aInstance) const
 {
@@ -78,6 +91,7 @@
 {
   if (mInstances.empty() && !aEntries.empty()) {
     mLeadership.OnFollowed(Now());
+    mFollowedSince = Now();
   }
   std::vector<std::shared_ptr<upstream_instance>> next;
   for (const instance_entry& entry : aEntries) {
--- a/Source/Sessions/clUpstreamGroup.h
+++ b/Source/Sessions/clUpstreamGroup.h
@@ -153,6 +153,10 @@
     return mInstances;
   }
 
+  /// The instances are known since long before aMoment, and each of them is in
+  /// the directory: no entry lapsed with the store.
+  bool IsWholeSince(time_point aMoment) const;
+
   /// Number by which a placement names the instance.
   std::uint32_t BitOf(const upstream_instance& aInstance) const;
 
@@ -227,6 +231,8 @@
   group_leadership mLeadership;
   fiber_signal mChanged;
   std::list<waiting_loan> mWaiting;
+  /// When the first entries came; empty before.
+  std::optional<time_point> mFollowedSince;
   bool mAsking = false;
   bool mIsClosingScheduled = false;
   bool mAskingLeader = false;
--- a/Tests/Processes/test_sessions.py
+++ b/Tests/Processes/test_sessions.py
@@ -238,6 +238,21 @@
             wait_until(lambda: not instance.leads)
         self.assertLess(self.replace(drain), 3)
 
+    def test_leader_lost_with_the_store_is_replaced_soon_after_its_return(
+            self):
+        """Found as incident inc-6be7: with every entry in place nothing is
+        waited for once the store is back."""
+        time.sleep(3)  # the directory must be known to be whole
+        self.keep_writing("z")
+        self.fleet.store.mode = "busy"
+        time.sleep(1)
+        self.fleet.run(self.fleet.instances["i-1"].crash())
+        time.sleep(1)
+        self.fleet.store.mode = "up"
+        gap = self.write_until_done(
+            lambda: Caller(self.proxies[1], "current"), "after", "1")
+        self.assertLess(gap, 2.5)
+
     def test_promoted_leader_lost_next_is_waited_for(self):
         """Found by a hunt (seed 777960391952): the promoted instance alone
         held what it inherited, and the deaf replica was promoted instead."""
