--- a/Source/Sessions/clFailoverAttempt.cxx
+++ b/Source/Sessions/clFailoverAttempt.cxx
@@ -414,7 +414,7 @@
 failover_attempt::Choose() const
 {
   const inherited_commits inherited = Inherited();
-  const auto ordered = OnlyOrdered(mRecord.mPossibleLeaders);
+  auto ordered = OnlyOrdered(mRecord.mPossibleLeaders);
   const bool answers =
     ordered &&
     std::any_of(
--- a/Tests/Decisions/clConnectionShareTest.cxx
+++ b/Tests/Decisions/clConnectionShareTest.cxx
@@ -10,7 +10,7 @@
 /// at once, and their connections count for some seconds more.
 struct connection_share_fixture
 {
-  std::size_t Spares(std::vector<nanoseconds> aIdleFor,
+  std::size_t Spares(const std::vector<nanoseconds>& aIdleFor,
                      std::uint32_t aOpen) const
   {
     return CountSpares(aIdleFor, aOpen, mShare, mLifetimes);
