--- a/Source/Decisions/clConcurrencyLimit.cxx
+++ b/Source/Decisions/clConcurrencyLimit.cxx
@@ -6,35 +6,29 @@
 
 namespace {
 
-/// Factor by which a refusal lowers the limit.  Source: 0.7 leaves a queue of
-/// an instance half full after one step of all proxies.
+/// Factor by which a refusal lowers the limit.
 constexpr double kLower = 0.7;
 
-/// Refusals closer together tell of the same full queue.  Source: an instance
-/// works off a queue of 40 in 90 to 260 ms.
+/// Refusals closer together tell of the same full queue.
 constexpr milliseconds kLowerSpacing{ 60 };
 
 constexpr double kLeast = 1;
 
-/// Source: no instance of the deployments has more connections per proxy.
 constexpr double kMost = 64;
 
 /// Own statements in an instance's queue below which the limit is raised, and
-/// above which it is lowered.  Source: 29 proxies then fill a queue of 24, and
-/// four keep the slots of an instance busy.
+/// above which it is lowered.
 constexpr double kRaiseBelow = 1;
 constexpr double kLowerAbove = 3;
 
-/// Weight of one answer in the smoothed time, as a divisor.  Source: single
-/// statements differ by a factor of seven.
+/// Weight of one answer in the smoothed time, as a divisor.
 constexpr int kSmoothing = 16;
 
 /// The same for the unloaded time, so that it follows an instance that has
 /// become slower for good within some seconds.
 constexpr int kDrift = 256;
 
-/// Mean of the answer times over the smallest of their smoothed ones.  Source:
-/// the deployments' spread of 0.7 and the smoothing above.
+/// Mean of the answer times over the smallest of their smoothed ones.
 constexpr double kMeanOverSmallest = 1.6;
 
 } // namespace
--- a/Source/Decisions/clInstanceSelector.cxx
+++ b/Source/Decisions/clInstanceSelector.cxx
@@ -4,17 +4,14 @@
 
 namespace {
 
-/// Extra cost of a statement that crosses availability zones.  Source: bytes
-/// between zones are the dearest resource, and the strictest target latency is
-/// 150 ms; some milliseconds of waiting nearby are cheaper.
+/// Extra cost of a statement that crosses availability zones.
 constexpr milliseconds kZonePenalty{ 20 };
 
 /// Extra cost of the leader for work that a replica may do, so that the
 /// leader stays free for writes.
 constexpr milliseconds kLeaderPenalty{ 6 };
 
-/// Extra cost of a statement that must open a connection first.  Source: an
-/// instance spends 12 to 27 ms of a slot on it.
+/// Extra cost of a statement that must open a connection first.
 constexpr milliseconds kOpenPenalty{ 25 };
 
 /// Least answer time assumed of an instance that was never measured.
--- a/Source/Runtime/clLineStream.cxx
+++ b/Source/Runtime/clLineStream.cxx
@@ -16,8 +16,7 @@
 
 namespace {
 
-/// Bytes that one read asks for.  Source: a statement or answer of the
-/// deployments is 400 to 1,000 bytes.
+/// Bytes that one read asks for.
 constexpr std::size_t kReadBytes = 4096;
 
 /// Time without an acknowledged packet after which the system gives a
--- a/Source/Sessions/clDecisionLog.cxx
+++ b/Source/Sessions/clDecisionLog.cxx
@@ -6,8 +6,7 @@
 
 namespace {
 
-/// Lines a second for statements that succeeded.  Source: a line costs some
-/// microseconds; at this rate logs take under 0.2 % of a quarter of a core.
+/// Lines a second for statements that succeeded.
 constexpr double kPlainPerSecond = 20;
 
 /// Lines a second for refusals and failures.
--- a/Source/Sessions/clSessionDaemon.cxx
+++ b/Source/Sessions/clSessionDaemon.cxx
@@ -12,8 +12,7 @@
 
 namespace {
 
-/// Callers that may wait to be accepted.  Source: a zone's callers come back
-/// together when its other proxies restart.
+/// Callers that may wait to be accepted.
 constexpr int kBacklog = 1024;
 
 /// Pace of looking at idle transactions and missing instances.
--- a/Source/Sessions/clStatementService.cxx
+++ b/Source/Sessions/clStatementService.cxx
@@ -8,8 +8,7 @@
 
 namespace {
 
-/// Smoothed answer times after which an answer counts as lost.  Source: the
-/// slowest answers of the deployments take seven times the mean.
+/// Smoothed answer times after which an answer counts as lost.
 constexpr int kPatienceFactor = 8;
 
 /// Least such time, so that a short stall of an instance is sat out.
--- a/Source/Sessions/clStoreFollower.cxx
+++ b/Source/Sessions/clStoreFollower.cxx
@@ -7,7 +7,7 @@
 namespace {
 
 /// Failed calls after which a follower that has a picture to go on with asks
-/// less often.  Source: most outages are shorter than a second.
+/// less often.
 constexpr std::uint32_t kQuickProbes = 6;
 
 } // namespace
--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -14,13 +14,11 @@
 /// Weight of one answer in the smoothed answer time.
 constexpr int kSmoothing = 8;
 
-/// Connections that this proxy opens to one instance at the same time.  Source:
-/// each costs 12 to 27 ms of a slot, and all proxies may open at once.
+/// Connections that this proxy opens to one instance at the same time.
 constexpr std::uint32_t kMostOpening = 1;
 
 /// Doublings of the pause before an instance that does not answer is tried
-/// again.  Source: 0.8 s at the longest, well under the 4 s in which proxies
-/// must have caught up with a healed network.
+/// again.
 constexpr std::uint32_t kMostAvoidDoublings = 2;
 
 } // namespace
