sessions: a started proxy keeps to its soft share for 3 seconds

After a loss of power of all VMs an instance counts the lost connections for three seconds.

For mLostConnectionLifetime after its start a proxy now keeps to the soft share. Ruled out: slots (free at that time) and the store (leases 60 ms after start).

--- a/Source/Decisions/clConnectionShare.cxx
+++ b/Source/Decisions/clConnectionShare.cxx
@@ -5,11 +5,14 @@
 namespace catkinloom {
 
 connection_share
-ShareOf(std::uint32_t aLimit, std::uint32_t aProxies)
+ShareOf(std::uint32_t aLimit, std::uint32_t aProxies, bool aHasJustStarted)
 {
   connection_share share;
   share.mHardLimit = std::max(aLimit / std::max(aProxies, 1U), 1U);
   share.mSoftLimit = std::max(share.mHardLimit / 2, 1U);
+  if (aHasJustStarted) {
+    share.mHardLimit = share.mSoftLimit;
+  }
   return share;
 }
 
--- a/Source/Decisions/clConnectionShare.h
+++ b/Source/Decisions/clConnectionShare.h
@@ -25,8 +25,11 @@
 };
 
 /// The share of each of aProxies in an instance's limit of aLimit connections.
+/// aHasJustStarted: connections of this proxy's previous process may still
+/// count, and those of all others if they restarted too; the soft limit is not
+/// exceeded then, so that every proxy gets a connection.
 connection_share
-ShareOf(std::uint32_t aLimit, std::uint32_t aProxies);
+ShareOf(std::uint32_t aLimit, std::uint32_t aProxies, bool aHasJustStarted);
 
 /// Idle times after which a connection is closed.
 struct idle_timeouts
--- a/Source/Sessions/clSessionContext.h
+++ b/Source/Sessions/clSessionContext.h
@@ -38,7 +38,7 @@
     , mSettings(aSettings)
     , mUpstreams{ aLoop,    aPorts.mStatements, mSettings,
                   mMetrics, std::move(aName),   std::move(aZone),
-                  1 }
+                  1,        aLoop.Clock().Now() }
     , mDesiredKnown(aLoop)
     , mStoreReached(aLoop)
   {
--- a/Source/Sessions/clSessionSettings.h
+++ b/Source/Sessions/clSessionSettings.h
@@ -34,6 +34,9 @@
   milliseconds mIdleLifetime{ 2000 };
   /// The same for connections beyond the soft limit of this proxy's share.
   milliseconds mSurplusIdleLifetime{ 200 };
+  /// Time for which an instance counts the connections of a process that ended
+  /// without closing them.
+  milliseconds mLostConnectionLifetime{ 3000 };
   /// Delay before an instance is tried again after a failed connection attempt;
   /// doubled with repeated failures.
   milliseconds mConnectRetryDelay{ 200 };
--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -159,6 +159,15 @@
   NotifyAll();
 }
 
+connection_share
+upstream_group::Share() const
+{
+  return ShareOf(mDeclared.mMaxConnections,
+                 mEnvironment.mProxies,
+                 Now() - mEnvironment.mStartedAt <
+                   mEnvironment.mSettings.mLostConnectionLifetime);
+}
+
 instance_selection
 upstream_group::Select(const instance_requirements& aRequirements,
                        time_point aNow) const
--- a/Source/Sessions/clUpstreamGroup.h
+++ b/Source/Sessions/clUpstreamGroup.h
@@ -99,6 +99,8 @@
   /// Number of proxies that share the instances' connections, this one
   /// included.
   std::uint32_t mProxies = 1;
+  /// When this proxy started.
+  time_point mStartedAt;
 };
 
 /// One database group: its instances, its leader and the statements that wait
@@ -209,10 +211,7 @@
   std::vector<instance_candidate> Candidates(bool aUpToHardLimit) const;
   instance_selection Select(const instance_requirements& aRequirements,
                             time_point aNow) const;
-  connection_share Share() const
-  {
-    return ShareOf(mDeclared.mMaxConnections, mEnvironment.mProxies);
-  }
+  connection_share Share() const;
   /// Closes the expired idle connections of one instance; true if it still has
   /// idle connections beyond the soft limit.
   bool CloseExpiredIdleOf(upstream_instance& aInstance);
--- a/Tests/Decisions/clConnectionShareTest.cxx
+++ b/Tests/Decisions/clConnectionShareTest.cxx
@@ -16,7 +16,7 @@
     return CountExpiredIdle(aIdleFor, aOpen, mShare, mTimeouts);
   }
 
-  connection_share mShare = ShareOf(kLimit, kProxies);
+  connection_share mShare = ShareOf(kLimit, kProxies, false);
   idle_timeouts mTimeouts{ milliseconds(2000), milliseconds(200) };
 
   static constexpr std::uint32_t kLimit = 16;
@@ -29,11 +29,11 @@
                   "shares_of_all_proxies_stay_within_instance_limit")
 {
   for (std::uint32_t proxies = 1; proxies <= kLimit; ++proxies) {
-    CHECK(ShareOf(kLimit, proxies).mHardLimit * proxies <= kLimit);
-    CHECK(ShareOf(kLimit, proxies).mSoftLimit >= 1);
+    CHECK(ShareOf(kLimit, proxies, false).mHardLimit * proxies <= kLimit);
+    CHECK(ShareOf(kLimit, proxies, false).mSoftLimit >= 1);
   }
-  CHECK(ShareOf(kLimit, 0).mHardLimit == kLimit);
-  CHECK(ShareOf(0, kProxies).mHardLimit == 1);
+  CHECK(ShareOf(kLimit, 0, false).mHardLimit == kLimit);
+  CHECK(ShareOf(0, kProxies, false).mHardLimit == 1);
 }
 
 TEST_CASE_FIXTURE(connection_share_fixture,
@@ -67,3 +67,13 @@
   CHECK(CountExpired({ milliseconds(1900), milliseconds(1900) }, 2) == 0);
   CHECK(CountExpired({ milliseconds(2100), milliseconds(2100) }, 2) == 1);
 }
+
+TEST_CASE_FIXTURE(connection_share_fixture,
+                  "restart_of_all_proxies_leaves_a_connection_for_each")
+{
+  // The previous processes used their soft limits and lost power.
+  const std::uint32_t counted = kProxies * mShare.mSoftLimit;
+  const connection_share started = ShareOf(kLimit, kProxies, true);
+  CHECK(started.mHardLimit == mShare.mSoftLimit);
+  CHECK(counted + kProxies * started.mHardLimit <= kLimit);
+}
