selector: 15 ms instead of 6 for the leader's share of replica work

The penalty for a leader was less than the one for another zone, so that proxies in the leader's zone always chose it.

At 15 ms a leader in the zone with a statement in flight loses to a free replica elsewhere.

--- a/Source/Decisions/clInstanceSelector.cxx
+++ b/Source/Decisions/clInstanceSelector.cxx
@@ -9,7 +9,7 @@
 
 /// Additional cost of the leader for work that a replica may do, which keeps
 /// the leader available for writes.
-constexpr milliseconds kLeaderPenalty{ 6 };
+constexpr milliseconds kLeaderPenalty{ 15 };
 
 /// Additional cost of opening a connection first.
 constexpr milliseconds kOpenPenalty{ 25 };
--- a/Tests/Decisions/clInstanceSelectorTest.cxx
+++ b/Tests/Decisions/clInstanceSelectorTest.cxx
@@ -124,3 +124,15 @@
   }
   CHECK(Select().mResult == selection_result::AllBusy);
 }
+
+TEST_CASE_FIXTURE(selector_fixture,
+                  "read_beside_loaded_leader_crosses_to_free_replica")
+{
+  // The only instance in the proxy's zone is the leader, which works on
+  // transactions.
+  mCandidates[0].mSameZone = true;
+  mCandidates[1].mSameZone = false;
+  CHECK(Select().mInstance == 0);
+  mCandidates[0].mInFlight = 1;
+  CHECK(Select().mInstance == 1);
+}
