failover: a chosen instance that responds late is asked again

Without an answer the query is now repeated for up to mBusyInstanceTimeout; only an answer that shows a restart or a shorter log makes the attempt choose again. Commits are checked to be still stopped after that wait, not before it.

--- a/Source/Decisions/clFailoverPlan.cxx
+++ b/Source/Decisions/clFailoverPlan.cxx
@@ -129,4 +129,17 @@
   return best->mId;
 }
 
+eligibility
+EvaluateEligibility(const failover_member& aChosen,
+                    const eligibility_response& aResponse)
+{
+  if (!aResponse.mIsAnswered) {
+    return eligibility::Unknown;
+  }
+  const bool isUnchanged = aResponse.mReceived >= aChosen.mPosition &&
+                           aResponse.mPausedTerm >= aChosen.mPausedTerm;
+  return aResponse.mIsBusy || isUnchanged ? eligibility::Confirmed
+                                          : eligibility::Changed;
+}
+
 } // namespace catkinloom
--- a/Source/Decisions/clFailoverPlan.h
+++ b/Source/Decisions/clFailoverPlan.h
@@ -89,4 +89,30 @@
                  const std::string& aPrimary,
                  const inherited_commits& aInherited);
 
+/// Whether the chosen instance may still be promoted.
+enum class eligibility
+{
+  Confirmed,
+  /// It restarted, lost its log or its pause ended: choose again.
+  Changed,
+  /// It did not respond in time; it may only be overloaded.
+  Unknown,
+};
+
+/// Response of the chosen instance to a status query before its promotion.
+struct eligibility_response
+{
+  /// It responded, possibly with a refusal.
+  bool mIsAnswered = false;
+  /// It refused the query for lack of a slot: it is running.
+  bool mIsBusy = false;
+  term_number mPausedTerm = 0;
+  log_position mReceived{};
+};
+
+/// aChosen is the instance as it was when it was chosen.
+eligibility
+EvaluateEligibility(const failover_member& aChosen,
+                    const eligibility_response& aResponse);
+
 } // namespace catkinloom
--- a/Source/Sessions/clFailoverAttempt.cxx
+++ b/Source/Sessions/clFailoverAttempt.cxx
@@ -126,7 +126,7 @@
       std::max(InheritedCommits().mFloor, MemberOf(*chosen).mPosition);
     mGroup.Leadership().OnCommitsStopped(mRecord.mFloor, mCommitsStoppedAt);
     AwaitEvidenceExpiry();
-    if (!AreCommitsStillStopped() || !IsStillEligible(*chosen)) {
+    if (!IsStillEligible(*chosen) || !AreCommitsStillStopped()) {
       continue;
     }
     if (SendPromotion(*chosen)) {
@@ -528,19 +528,8 @@
     return true;
   }
   const auto instance = mGroup.Find(aChosen);
-  failover_member& member = MemberOf(aChosen);
-  if (instance) {
-    const auto status =
-      mGroup.SendCommand(*instance, instance_command::Status, 0);
-    // An instance that refuses the query because it is overloaded is running.
-    const bool isBusy =
-      !status && status.error().mKind == error_kind::UpstreamRefused;
-    const bool isUnchanged = status &&
-                             status.value().mReceived >= member.mPosition &&
-                             status.value().mPausedTerm >= member.mPausedTerm;
-    if (isBusy || isUnchanged) {
-      return true;
-    }
+  if (instance && AwaitEligibility(*instance) == eligibility::Confirmed) {
+    return true;
   }
   Log(log_level::Info,
       "failover",
@@ -548,11 +537,38 @@
       "instance={}",
       mGroup.Service(),
       aChosen);
+  failover_member& member = MemberOf(aChosen);
   member.mStopped = false;
   member.mPausedTerm = 0;
   return false;
 }
 
+eligibility
+failover_attempt::AwaitEligibility(upstream_instance& aChosen)
+{
+  const time_point until = Now() + mContext.mSettings.mBusyInstanceTimeout;
+  while (true) {
+    const auto status =
+      mGroup.SendCommand(aChosen, instance_command::Status, 0);
+    eligibility_response response;
+    response.mIsBusy =
+      !status && status.error().mKind == error_kind::UpstreamRefused;
+    response.mIsAnswered = status || response.mIsBusy;
+    if (status) {
+      response.mPausedTerm = status.value().mPausedTerm;
+      response.mReceived = status.value().mReceived;
+    }
+    const eligibility result =
+      EvaluateEligibility(MemberOf(aChosen.mEntry.mId), response);
+    // Without a leader, the reads of the group may fill the queue of the chosen
+    // instance.  Asking it again takes less time than choosing again.
+    if (result != eligibility::Unknown || Now() >= until || !MayContinue()) {
+      return result;
+    }
+    mContext.mLoop.Sleep(kRetryDelay);
+  }
+}
+
 void
 failover_attempt::AwaitCaughtUpReplica()
 {
--- a/Source/Sessions/clFailoverAttempt.h
+++ b/Source/Sessions/clFailoverAttempt.h
@@ -87,6 +87,9 @@
   /// True if the chosen instance has not restarted or lost its log since it was
   /// stopped.
   bool IsStillEligible(const std::string& aChosen);
+  /// Queries the chosen instance until it responds, for at most
+  /// mBusyInstanceTimeout.
+  eligibility AwaitEligibility(upstream_instance& aChosen);
   /// Waits up to mMaxCatchUpWait until a replica has the whole log of the
   /// leader that stepped down.
   void AwaitCaughtUpReplica();
--- a/Tests/Decisions/clFailoverPlanTest.cxx
+++ b/Tests/Decisions/clFailoverPlanTest.cxx
@@ -218,3 +218,26 @@
   Stop("b", { 1, 157 });
   CHECK(ChooseNextLeader(mMembers, "a", mInherited) == "b");
 }
+
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "chosen_instance_overloaded_by_reads_is_asked_again")
+{
+  Stop("b", { 1, 229 });
+  Member("b").mPausedTerm = 2;
+  CHECK(EvaluateEligibility(Member("b"), {}) == eligibility::Unknown);
+  CHECK(EvaluateEligibility(Member("b"), { true, true, 0, {} }) ==
+        eligibility::Confirmed);
+}
+
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "chosen_instance_without_pause_or_log_is_replaced")
+{
+  Stop("b", { 1, 229 });
+  Member("b").mPausedTerm = 2;
+  CHECK(EvaluateEligibility(Member("b"), { true, false, 2, { 1, 229 } }) ==
+        eligibility::Confirmed);
+  CHECK(EvaluateEligibility(Member("b"), { true, false, 0, { 1, 229 } }) ==
+        eligibility::Changed);
+  CHECK(EvaluateEligibility(Member("b"), { true, false, 2, { 1, 228 } }) ==
+        eligibility::Changed);
+}
