failover: a lost replica is dated by the refusal of its address

An address that refuses connections, or where another instance answers, proves that the incarnation has ended: it has confirmed no commit since, and a later one has another start time and counts as an instance of its own. The loss is dated by the first such response, from a statement, a command, or a probe that is sent once the directory entry is missing. A log end that the leader reported after it covers every commit of which the lost instance had the only copy, also when it was seen before the loss was known. A silent address proves nothing and is dated as before. Ruled out: dating by the missing entry (an instance cut from the store alone loses its entry and still confirms), and what the live proxies saw acknowledged (a proxy that died may have acknowledged more).

--- a/Source/Decisions/clLeadership.cxx
+++ b/Source/Decisions/clLeadership.cxx
@@ -173,6 +173,12 @@
 void
 group_leadership::OnMemberLost(time_point aMoment)
 {
+  // A log end that the leader reported after aMoment covers every commit that
+  // the lost instance confirmed.
+  if (const auto floor = FloorSince(aMoment)) {
+    mLossFloor = std::max(mLossFloor, *floor);
+    return;
+  }
   mLostAt = std::max(mLostAt.value_or(aMoment), aMoment);
 }
 
--- a/Source/Decisions/clLeadership.h
+++ b/Source/Decisions/clLeadership.h
@@ -148,8 +148,9 @@
   /// observation is recent enough.
   std::optional<log_position> FloorSince(time_point aMoment) const;
 
-  /// An instance other than the leader left, or restarted without its log, at
-  /// aMoment.  It may have had the only copy of a commit besides the leader's.
+  /// An instance other than the leader left, or restarted without its log.  It
+  /// confirmed no commit after aMoment, which may be in the past, and may have
+  /// had the only copy of an earlier one besides the leader's.
   void OnMemberLost(time_point aMoment);
 
   /// Monitoring of the group started at aMoment; losses of members before it
--- a/Source/Runtime/clLineStream.cxx
+++ b/Source/Runtime/clLineStream.cxx
@@ -115,7 +115,9 @@
   ClearDeadline();
   if (code || !mSocket.is_open()) {
     Close();
-    return error{ error_kind::UpstreamUnreachable,
+    return error{ code == boost::asio::error::connection_refused
+                    ? error_kind::UpstreamRefused
+                    : error_kind::UpstreamUnreachable,
                   aAddress + ": " +
                     (mTimedOut ? "no answer in time" : code.message()) };
   }
--- a/Source/Runtime/clLineStream.h
+++ b/Source/Runtime/clLineStream.h
@@ -44,7 +44,8 @@
               socket_type aSocket,
               std::size_t aMaxLineBytes);
 
-  /// Connects within the timeout.  Errors: UpstreamUnreachable, BadSettings.
+  /// Connects within the timeout.  Errors: UpstreamRefused if nothing listens
+  /// at the address, UpstreamUnreachable, BadSettings.
   result<void> Connect(const std::string& aAddress, nanoseconds aTimeout);
 
   /// Sends all bytes.  Returns false when the connection fails or the timeout
--- a/Source/Sessions/clStatementConnection.cxx
+++ b/Source/Sessions/clStatementConnection.cxx
@@ -27,7 +27,11 @@
         "Connection failed; nothing was sent. instance={} cause={}",
         aEntry.mId,
         connected.error().mDetail);
-    return {};
+    statement_reply reply;
+    if (connected.error().mKind == error_kind::UpstreamRefused) {
+      reply.mOutcome = exchange_outcome::NoListener;
+    }
+    return reply;
   }
   std::string bytes;
   mCodec.AppendOpen(bytes, aEntry.mService, aProxy, aEntry.mId);
--- a/Source/Sessions/clStatementConnection.h
+++ b/Source/Sessions/clStatementConnection.h
@@ -20,6 +20,8 @@
   Answered,
   /// Nothing was sent.
   NotSent,
+  /// Nothing was sent: no process listens at the instance's address.
+  NoListener,
   /// The connection failed before the response was complete, or the response
   /// could not be decoded.
   Broken,
@@ -42,6 +44,12 @@
   std::optional<log_position> mPosition;
   time_point mSentAt;
 
+  /// The statement was not sent.
+  bool IsUnsent() const
+  {
+    return mOutcome == exchange_outcome::NotSent ||
+           mOutcome == exchange_outcome::NoListener;
+  }
   /// The response is complete; it may be an error.
   bool IsAnswered() const { return mOutcome == exchange_outcome::Answered; }
   bool IsSuccess() const { return IsAnswered() && !mError; }
--- a/Source/Sessions/clStatementService.cxx
+++ b/Source/Sessions/clStatementService.cxx
@@ -347,7 +347,7 @@
                                 retry_state& aRetry)
 {
   const bool notExecuted =
-    aReply.mOutcome == exchange_outcome::NotSent ||
+    aReply.IsUnsent() ||
     (aReply.IsAnswered() && aReply.mError && HasNoEffect(*aReply.mError));
   const bool isRepeatable =
     aMode == access_mode::Read &&
@@ -679,7 +679,7 @@
   outcome.mDetail = "commit not acknowledged";
   if (reply.IsAnswered()) {
     outcome.mError = reply.mError;
-  } else if (!wrote || reply.mOutcome == exchange_outcome::NotSent) {
+  } else if (!wrote || reply.IsUnsent()) {
     outcome.mError = statement_error::Aborted;
   } else {
     outcome.mError = reply.mOutcome == exchange_outcome::TimedOut
--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -81,7 +81,28 @@
   // A commit is confirmed by other members, so the loss of the leader's own
   // copy is not counted.
   if (aInstance.mEntry.mId != mLeadership.Leader()) {
-    mLeadership.OnMemberLost(Now());
+    mLeadership.OnMemberLost(aInstance.mEndedSince.value_or(Now()));
+  }
+}
+
+void
+upstream_group::ProbeMissing(std::shared_ptr<upstream_instance> aInstance)
+{
+  mEnvironment.mLoop.Spawn([this, instance = std::move(aInstance)] {
+    RespondsToNewConnection(*instance);
+  });
+}
+
+void
+upstream_group::RecordOpenReply(upstream_instance& aInstance,
+                                const statement_reply& aReply)
+{
+  const bool hasEnded = aReply.mOutcome == exchange_outcome::NoListener ||
+                        aReply.HasError(statement_error::WrongInstance);
+  if (hasEnded && !aInstance.mEndedSince) {
+    aInstance.mEndedSince = Now();
+  } else if (!hasEnded && aReply.IsAnswered()) {
+    aInstance.mEndedSince.reset();
   }
 }
 
@@ -137,6 +158,7 @@
     }
     if (!known->mMissingSince) {
       known->mMissingSince = Now();
+      ProbeMissing(known);
     }
     if (Now() <
         *known->mMissingSince + mEnvironment.mSettings.mMissingEntryGrace) {
@@ -313,6 +335,7 @@
                                                  settings.mAcceptTimeout);
   --instance.mExecuting;
   --instance.mOpening;
+  RecordOpenReply(instance, reply);
   if (reply.IsAnswered()) {
     instance.mHealth.RecordAnswered(Now(), false);
     RecordAnswered(instance);
@@ -542,7 +565,7 @@
 }
 
 std::unique_ptr<statement_connection>
-upstream_group::OpenCommandConnection(const upstream_instance& aInstance)
+upstream_group::OpenCommandConnection(upstream_instance& aInstance)
 {
   auto connection = std::make_unique<statement_connection>(
     mEnvironment.mLoop,
@@ -552,11 +575,12 @@
     connection->Open(aInstance.mEntry,
                      mEnvironment.mProxy,
                      mEnvironment.mSettings.mCommandTimeout);
+  RecordOpenReply(aInstance, reply);
   return reply.IsSuccess() ? std::move(connection) : nullptr;
 }
 
 bool
-upstream_group::RespondsToNewConnection(const upstream_instance& aInstance)
+upstream_group::RespondsToNewConnection(upstream_instance& aInstance)
 {
   statement_connection connection(mEnvironment.mLoop,
                                   mEnvironment.mCodec,
@@ -566,6 +590,7 @@
                     mEnvironment.mProxy,
                     mEnvironment.mSettings.mCommandTimeout,
                     mEnvironment.mSettings.mBusyInstanceTimeout);
+  RecordOpenReply(aInstance, reply);
   return reply.IsAnswered();
 }
 
--- a/Source/Sessions/clUpstreamGroup.h
+++ b/Source/Sessions/clUpstreamGroup.h
@@ -28,6 +28,10 @@
   std::optional<time_point> mMissingSince;
   /// Removed from the group; its connections are closed when released.
   bool mRemoved = false;
+  /// Time since which this incarnation is known to have ended, so that it has
+  /// confirmed no commit: nothing listens at its address, or another instance
+  /// does.
+  std::optional<time_point> mEndedSince;
   std::vector<std::unique_ptr<statement_connection>> mIdle;
   /// Connections of this proxy: idle, in use and being opened.
   std::uint32_t mConnectionCount = 0;
@@ -160,7 +164,7 @@
   /// True if the instance responds to a new connection, even with a refusal.
   /// Existing connections are no test: a single one may be unresponsive while
   /// the instance is running.
-  bool RespondsToNewConnection(const upstream_instance& aInstance);
+  bool RespondsToNewConnection(upstream_instance& aInstance);
 
   /// Sends a command to an instance.  Errors: UpstreamUnreachable,
   /// UpstreamRefused, and BadRequest if its status can't be decoded.
@@ -220,6 +224,11 @@
   };
 
   void MarkRemoved(upstream_instance& aInstance);
+  /// Finds out whether an instance whose directory entry is missing has ended.
+  void ProbeMissing(std::shared_ptr<upstream_instance> aInstance);
+  /// Updates mEndedSince from the response to an opened connection.
+  void RecordOpenReply(upstream_instance& aInstance,
+                       const statement_reply& aReply);
   bool HasLostEvidence(const connection_request& aRequest) const
   {
     return !aRequest.mProvenLeader.empty() &&
@@ -227,7 +236,7 @@
   }
   /// Opens a connection outside the pool for a command; null on failure.
   std::unique_ptr<statement_connection> OpenCommandConnection(
-    const upstream_instance& aInstance);
+    upstream_instance& aInstance);
   /// aUpToHardLimit: also allows connections that are reserved for restarting
   /// proxies.
   std::vector<instance_candidate> Candidates(bool aUpToHardLimit) const;
--- a/Tests/Decisions/clLeadershipTest.cxx
+++ b/Tests/Decisions/clLeadershipTest.cxx
@@ -223,6 +223,28 @@
   CHECK(mLeadership.LossFloor() == log_position{ 1, 60 });
 }
 
+TEST_CASE_FIXTURE(
+  leadership_fixture,
+  "replica_lost_before_leader_is_covered_by_leaders_last_report")
+{
+  // The directory reports the loss only after the leader has died, too.
+  mLeadership.OnRecord({}, At(1000));
+  mLeadership.OnLeaderPosition("a", { 1, 50 }, At(1010));
+  mLeadership.OnLeaderPosition("a", { 1, 60 }, At(1100));
+  mLeadership.OnMemberLost(At(1020));
+  CHECK_FALSE(mLeadership.HasUnknownLoss());
+  CHECK(mLeadership.LossFloor() == log_position{ 1, 60 });
+}
+
+TEST_CASE_FIXTURE(leadership_fixture,
+                  "replica_lost_after_leaders_last_report_is_unknown")
+{
+  mLeadership.OnRecord({}, At(1000));
+  mLeadership.OnLeaderPosition("a", { 1, 60 }, At(1100));
+  mLeadership.OnMemberLost(At(1101));
+  CHECK(mLeadership.HasUnknownLoss());
+}
+
 TEST_CASE_FIXTURE(leadership_fixture, "loss_is_not_resolved_by_unproven_leader")
 {
   mLeadership.OnMemberLost(At(1020));
