daemon: a forwarded request without a response is not reported as not run

A repeatable or undeclared request that was sent to another proxy and got no response ended as not-run once no further proxy answered, although it may have run.

--- a/Source/Daemon/clRequestService.cxx
+++ b/Source/Daemon/clRequestService.cxx
@@ -1,5 +1,6 @@
 #include "clRequestService.h"
 
+#include "clForwardProgress.h"
 #include "clLog.h"
 #include "clPlacement.h"
 
@@ -194,7 +195,9 @@
 {
   const peer_request request = ToPeerRequest(mState, aRequest, aGroup);
   const manifest_request* declared = mState.mRequests.Find(request.mRequest);
-  const bool isRepeatable = declared == nullptr || declared->mRepeatable;
+  // The other proxy may know a newer manifest, in which the request is declared
+  // as not repeatable.
+  forward_progress progress(declared != nullptr && declared->mRepeatable);
   const auto proxies = FindServingProxies(mState, mPeers.Peers(), aGroup);
   for (const manifest_proxy& proxy : proxies) {
     Log(log_level::Decision,
@@ -213,21 +216,22 @@
     if (answer) {
       return FromPeerAnswer(answer.value());
     }
-    const bool neverSent =
-      answer.error().mKind == error_kind::UpstreamUnreachable;
-    if (!neverSent && !isRepeatable) {
-      http_response response = EncodeRefusal(
-        { error_kind::OutcomeUnknown,
-          "The proxy that serves the group did not respond. Send the request "
-          "again with the same Idempotency-Key to learn its outcome." });
-      SetHeader(
-        response, header::kOutcome, OutcomeName(request_outcome::Unknown));
-      return response;
+    progress.RecordFailure(answer.error().mKind);
+    if (!progress.MayContinue()) {
+      break;
     }
   }
-  return EncodeRefusal({ error_kind::NoCurrentPrimary,
-                         "No live proxy that serves group " + aGroup +
-                           " responded; send the request again." });
+  if (progress.Outcome() == request_outcome::NotRun) {
+    return EncodeRefusal({ error_kind::NoCurrentPrimary,
+                           "No live proxy that serves group " + aGroup +
+                             " responded; send the request again." });
+  }
+  http_response response = EncodeRefusal(
+    { error_kind::OutcomeUnknown,
+      "The proxy that serves the group did not respond. Send the request again "
+      "with the same Idempotency-Key to learn its outcome." });
+  SetHeader(response, header::kOutcome, OutcomeName(request_outcome::Unknown));
+  return response;
 }
 
 peer_answer
