failover: an unreadable leadership lease key is not counted as revoked

Its id was read as 0, whose revocation the store answers with 404, which counts as ended: an instance could be promoted beside a valid lease.

--- a/Source/Sessions/clLeadershipLease.cxx
+++ b/Source/Sessions/clLeadershipLease.cxx
@@ -7,20 +7,16 @@
 
 namespace catkinloom {
 
-namespace {
-
-/// Id of the lease that an item's value names; 0 if it names none.
-store_lease_id
-LeaseIdOf(const store_item& aItem)
+std::optional<store_lease_id>
+DecodeLeaseId(std::string_view aValue)
 {
   store_lease_id lease = 0;
-  const char* begin = aItem.mValue.data();
-  std::from_chars(begin, begin + aItem.mValue.size(), lease);
-  return lease;
+  const char* end = aValue.data() + aValue.size();
+  const auto [parsedEnd, code] = std::from_chars(aValue.data(), end, lease);
+  const bool isWhole = code == std::errc() && parsedEnd == end;
+  return isWhole && lease != 0 ? std::optional(lease) : std::nullopt;
 }
 
-} // namespace
-
 leadership_lease::leadership_lease(session_context& aContext,
                                    store_call_handler aOnStoreCall)
   : mContext(aContext)
@@ -84,9 +80,19 @@
   std::size_t failed = 0;
   std::vector<std::function<void()>> jobs;
   for (const store_item& item : listing.mItems) {
-    jobs.emplace_back([&, lease = LeaseIdOf(item)] {
-      failed += store.RevokeLease(lease) ? 0 : 1;
-    });
+    const auto lease = DecodeLeaseId(item.mValue);
+    if (!lease) {
+      // Some proxy may hold a lease that this key names in another format.
+      Log(log_level::Warning,
+          "permit",
+          "Leadership lease key can't be read, so that its lease can't be "
+          "revoked; no instance is promoted. key={}",
+          item.mKey);
+      ++failed;
+      continue;
+    }
+    jobs.emplace_back(
+      [&, lease = *lease] { failed += store.RevokeLease(lease) ? 0 : 1; });
   }
   aContext.mLoop.RunAll(jobs);
   if (failed > 0) {
--- a/Source/Sessions/clLeadershipLease.h
+++ b/Source/Sessions/clLeadershipLease.h
@@ -3,7 +3,9 @@
 #include "clSessionContext.h"
 
 #include <functional>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace catkinloom {
 
@@ -39,6 +41,11 @@
   store_lease_id mLease = 0;
 };
 
+/// Id of the lease that the value of a leadership lease key names; empty if the
+/// value can't be read.
+std::optional<store_lease_id>
+DecodeLeaseId(std::string_view aValue);
+
 /// Revokes the leadership lease of every proxy, so that no renewal of them is
 /// evidence any more.  Errors: PlatformUnavailable; some leases may then still
 /// be valid.
