sessions: a statement inside a transaction gets its whole time

It was cut after a third of its time-out, as a first attempt that can be repeated elsewhere. A transaction can't, so it was aborted although time remained. test_slow_read_in_transaction_completes_within_its_timeout fails with the program before (ERROR ABORTED no answer) and passes with this one.

--- a/Source/Sessions/clStatementService.cxx
+++ b/Source/Sessions/clStatementService.cxx
@@ -549,13 +549,10 @@
                                          bool aIsCommit)
 {
   while (true) {
-    const nanoseconds timeout =
-      aIsCommit ? RemainingTime(aRetry)
-                : AnswerTimeoutFor(*aConnection.mInstance, aRetry);
     ++aRetry.mAttempts;
     statement_reply reply = aGroup.Exchange(aConnection,
                                             aBytes,
-                                            timeout,
+                                            RemainingTime(aRetry),
                                             aIsCommit ? exchange_kind::Commit
                                                       : exchange_kind::Access);
     // Busy means that no slot was free: the statement did not run, and the
--- a/Tests/Processes/test_sessions.py
+++ b/Tests/Processes/test_sessions.py
@@ -92,6 +92,14 @@
         self.fleet.instances["i-1"].read_delay_s = 0.55
         self.assertEqual(caller.read("x"), "1")
 
+    def test_slow_read_in_transaction_completes_within_its_timeout(self):
+        """A statement of a transaction can't be retried elsewhere."""
+        caller = self.caller("current")
+        caller.write("x", "1")
+        caller.execute("BEGIN")
+        self.fleet.instances["i-1"].read_delay_s = 0.55
+        self.assertEqual(caller.read("x"), "1")
+
     def test_connection_limit_reached_statement_waits_for_capacity(self):
         """Simulates a proxy restart.
 
