sessions: a proxy cut from store and leader rejects at once

Every statement that needed evidence waited 400 ms in vain, and every statement for the silent leader to the end of its time, although nothing could come: the caller's time was used up before it tried another proxy. Once a wait for evidence was in vain and while the store is lost, a statement is rejected at once (BUSY: nothing was sent), as is one for a leader that has been silent for mLeaderResponseTimeout; polls of the group go on and end this state. While the store is reached statements wait as before: a leader is being replaced, and the caller's other proxies know no more.

--- a/Source/Decisions/clLeadership.cxx
+++ b/Source/Decisions/clLeadership.cxx
@@ -140,6 +140,7 @@
 group_leadership::ExtendEvidence(time_point aSentAt)
 {
   mProvenUntil = std::max(mProvenUntil, aSentAt + mSettings.mEvidenceLifetime);
+  mHasEvidenceTimedOut = false;
 }
 
 void
--- a/Source/Decisions/clLeadership.h
+++ b/Source/Decisions/clLeadership.h
@@ -140,6 +140,13 @@
   /// True when the leader is proven to be the only one at aMoment.
   bool IsProvenAt(time_point aMoment) const;
 
+  /// A statement waited for evidence as long as it may, in vain.
+  void OnEvidenceTimeout() { mHasEvidenceTimedOut = true; }
+
+  /// True when the last wait for evidence was in vain and none has arrived
+  /// since: the next wait would most likely be in vain, too.
+  bool HasEvidenceTimedOut() const { return mHasEvidenceTimedOut; }
+
   /// True when new evidence should be requested.
   bool NeedsEvidence(time_point aNow) const;
 
@@ -189,6 +196,7 @@
   /// directory.
   bool mFoundByGroup = false;
   time_point mProvenUntil;
+  bool mHasEvidenceTimedOut = false;
   /// Leader when the record was read under the lease; empty without a lease.
   std::string mLeasedLeader;
   /// When the latest request that confirmed the known record was sent.
--- a/Source/Sessions/clStatementService.cxx
+++ b/Source/Sessions/clStatementService.cxx
@@ -199,6 +199,12 @@
   return timeout + kMinAnswerTimeout < remaining ? timeout : remaining;
 }
 
+bool
+statement_service::IsCutOff(const group_leadership& aLeadership) const
+{
+  return !mContext.mStoreReachedSince && aLeadership.HasEvidenceTimedOut();
+}
+
 bool
 statement_service::AwaitLeadershipEvidence(upstream_group& aGroup,
                                            retry_state& aRetry)
@@ -209,10 +215,15 @@
   if (leadership.NeedsEvidence(mContext.Now())) {
     mContext.mRefreshLeadership();
   }
+  if (IsCutOff(leadership) && !leadership.IsProvenAt(aRetry.mReceivedAt)) {
+    mContext.mLoop.Spawn([&aGroup] { aGroup.PollGroup(); });
+    return false;
+  }
   std::uint32_t rounds = 0;
   while (!leadership.IsProvenAt(aRetry.mReceivedAt)) {
     const time_point now = mContext.Now();
     if (now >= until) {
+      leadership.OnEvidenceTimeout();
       return false;
     }
     // The first round queries only the store.  Later rounds also query the
@@ -279,6 +290,7 @@
     aSession.mRoute->mTargetLatency / kConnectionWaitDivisor;
   request.mDeadline = aRetry.mDeadline;
   request.mProvenLeader = aFreshness.mProvenLeader;
+  request.mMayAwaitLeader = mContext.mStoreReachedSince.has_value();
   return aGroup.AcquireConnection(request);
 }
 
--- a/Source/Sessions/clStatementService.h
+++ b/Source/Sessions/clStatementService.h
@@ -146,8 +146,12 @@
     upstream_group& aGroup,
     access_mode aMode,
     retry_state& aRetry);
+  /// True if this proxy reaches neither the store nor the group, so that its
+  /// caller should try another proxy at once.
+  bool IsCutOff(const group_leadership& aLeadership) const;
   /// Waits for evidence that the leader still led when the statement was
-  /// received.  Returns false on time-out.
+  /// received.  Returns false on time-out, and at once if this proxy is cut
+  /// off.
   bool AwaitLeadershipEvidence(upstream_group& aGroup, retry_state& aRetry);
 
   result<acquired_connection> AcquireConnection(
--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -258,6 +258,11 @@
       }
       StartOpening(std::move(instance));
     }
+    if (requirements.mLeaderOnly && !aRequest.mMayAwaitLeader &&
+        IsLeaderSilent()) {
+      return error{ error_kind::NoCurrentPrimary,
+                    "neither store nor leader reached" };
+    }
     const bool busy = chosen.mResult != selection_result::NoneUsable;
     const time_point until = busy ? aRequest.mDeadline : leaderUntil;
     if (now >= until) {
@@ -276,6 +281,14 @@
   }
 }
 
+bool
+upstream_group::IsLeaderSilent() const
+{
+  const auto leader = Leader();
+  return leader && leader->mHealth.UnresponsiveFor(Now()) >=
+                     mEnvironment.mSettings.mLeaderResponseTimeout;
+}
+
 std::unique_ptr<statement_connection>
 upstream_group::AcquireIdle(upstream_instance& aInstance,
                             const session_state& aSession)
--- a/Source/Sessions/clUpstreamGroup.h
+++ b/Source/Sessions/clUpstreamGroup.h
@@ -89,6 +89,9 @@
   /// Leader confirmed by evidence; no other leader may serve the statement.
   /// Empty if the statement needs no evidence.
   std::string mProvenLeader;
+  /// Wait for a leader that does not respond: it is being replaced, or responds
+  /// again.  False if this proxy can't learn of a new leader.
+  bool mMayAwaitLeader = true;
 };
 
 /// What a response tells about the instance.
@@ -234,6 +237,9 @@
     return !aRequest.mProvenLeader.empty() &&
            aRequest.mProvenLeader != mLeadership.Leader();
   }
+  /// True if requests to the leader have been without response for
+  /// mLeaderResponseTimeout.
+  bool IsLeaderSilent() const;
   /// Opens a connection outside the pool for a command; null on failure.
   std::unique_ptr<statement_connection> OpenCommandConnection(
     upstream_instance& aInstance);
--- a/Tests/Decisions/clLeadershipTest.cxx
+++ b/Tests/Decisions/clLeadershipTest.cxx
@@ -263,6 +263,18 @@
   CHECK(mLeadership.LossFloor() == log_position{});
 }
 
+TEST_CASE_FIXTURE(leadership_fixture,
+                  "proxy_cut_from_store_and_group_waits_for_evidence_once")
+{
+  CHECK_FALSE(mLeadership.HasEvidenceTimedOut());
+  mLeadership.OnEvidenceTimeout();
+  CHECK(mLeadership.HasEvidenceTimedOut());
+  mLeadership.OnDirectoryReport("a");
+  CHECK(mLeadership.HasEvidenceTimedOut());
+  mLeadership.OnGroupLeader("a", At(1000));
+  CHECK_FALSE(mLeadership.HasEvidenceTimedOut());
+}
+
 TEST_CASE("group_leader_with_receiving_replica_is_found")
 {
   const auto leader =
