--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -4,8 +4,6 @@
 #include "clLog.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
-#include <tuple>
 
 namespace catkinloom {
 
@@ -29,6 +27,7 @@
   , mService(std::move(aService))
   , mLeadership(aEnvironment.mSettings.mLeadership)
   , mChanged(aEnvironment.mLoop)
+  , mWaiting(aEnvironment.mLoop)
 {
 }
 
@@ -240,7 +239,7 @@
 result<acquired_connection>
 upstream_group::AcquireConnection(const connection_request& aRequest)
 {
-  instance_requirements requirements = aRequest.mRequirements;
+  const instance_requirements& requirements = aRequest.mRequirements;
   const time_point leaderUntil =
     std::min(aRequest.mDeadline, Now() + mEnvironment.mSettings.mMaxLeaderWait);
   while (true) {
@@ -277,7 +276,11 @@
     // wait is bounded.
     const nanoseconds pause = busy ? mEnvironment.mSettings.mConnectRetryDelay
                                    : mEnvironment.mSettings.mLeaderRetryDelay;
-    WaitInQueue(aRequest, std::min(until, now + pause));
+    mWaiting.Wait({ aRequest.mPriority,
+                    aRequest.mReceivedAt,
+                    aRequest.mTargetDeadline,
+                    requirements.mLeaderOnly },
+                  std::min(until, now + pause));
   }
 }
 
@@ -439,63 +442,16 @@
   });
 }
 
-void
-upstream_group::WaitInQueue(const connection_request& aRequest,
-                            time_point aUntil)
-{
-  fiber_wait wait;
-  const auto position = std::find_if(
-    mWaiting.begin(), mWaiting.end(), [&](const queued_request& aOther) {
-      return std::tie(aRequest.mPriority, aRequest.mReceivedAt) <
-             std::tie(aOther.mRequest->mPriority, aOther.mRequest->mReceivedAt);
-    });
-  const auto self = mWaiting.insert(position, { &aRequest, &wait });
-  boost::asio::steady_timer timer(mEnvironment.mLoop.Context());
-  // The timer's handler may run after this function has returned and must not
-  // access its stack frame then.
-  auto alive = std::make_shared<fiber_wait*>(&wait);
-  timer.expires_after(std::max<nanoseconds>(aUntil - Now(), nanoseconds(0)));
-  timer.async_wait([alive](const boost::system::error_code&) {
-    if (*alive != nullptr) {
-      (*alive)->Notify();
-    }
-  });
-  wait.Wait();
-  *alive = nullptr;
-  mWaiting.erase(self);
-}
-
 void
 upstream_group::NotifyNext(const upstream_instance& aInstance)
 {
-  const bool leads = aInstance.mEntry.mId == mLeadership.Leader();
-  const time_point now = Now();
-  queued_request* late = nullptr;
-  for (queued_request& waiting : mWaiting) {
-    const connection_request& request = *waiting.mRequest;
-    const bool fits = leads || !request.mRequirements.mLeaderOnly;
-    if (waiting.mIsNotified || !fits) {
-      continue;
-    }
-    if (now < request.mTargetDeadline) {
-      waiting.mIsNotified = true;
-      waiting.mWait->Notify();
-      return;
-    }
-    late = late == nullptr ? &waiting : late;
-  }
-  if (late != nullptr) {
-    late->mIsNotified = true;
-    late->mWait->Notify();
-  }
+  mWaiting.NotifyNext(aInstance.mEntry.mId == mLeadership.Leader());
 }
 
 void
 upstream_group::NotifyAll()
 {
-  for (const queued_request& waiting : mWaiting) {
-    waiting.mWait->Notify();
-  }
+  mWaiting.NotifyAll();
   mChanged.Notify();
 }
 
--- a/Source/Sessions/clUpstreamGroup.h
+++ b/Source/Sessions/clUpstreamGroup.h
@@ -10,9 +10,9 @@
 #include "clPrimaryHealth.h"
 #include "clSessionMetrics.h"
 #include "clStatementConnection.h"
+#include "clStatementQueue.h"
 
 #include <functional>
-#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -218,14 +218,6 @@
   void CloseExpiredIdle();
 
 private:
-  struct queued_request
-  {
-    const connection_request* mRequest = nullptr;
-    fiber_wait* mWait = nullptr;
-    /// It was notified and has not run yet.
-    bool mIsNotified = false;
-  };
-
   void MarkRemoved(upstream_instance& aInstance);
   /// Finds out whether an instance whose directory entry is missing has ended.
   void ProbeMissing(std::shared_ptr<upstream_instance> aInstance);
@@ -272,10 +264,7 @@
   /// Requests the status of the leader, since its directory entry does not
   /// necessarily change when it becomes primary again.  One poll at a time.
   void PollLeader();
-  /// Suspends the calling fiber until it is notified, and until aUntil at most.
-  void WaitInQueue(const connection_request& aRequest, time_point aUntil);
-  /// Notifies the first statement in the queue that may use the instance; one
-  /// that can still meet its target latency precedes one that can't.
+  /// Notifies the next waiting statement that may use the instance.
   void NotifyNext(const upstream_instance& aInstance);
   void RecordReply(upstream_instance& aInstance,
                    const statement_reply& aReply,
@@ -288,7 +277,7 @@
   std::vector<std::shared_ptr<upstream_instance>> mInstances;
   group_leadership mLeadership;
   fiber_signal mChanged;
-  std::list<queued_request> mWaiting;
+  statement_queue mWaiting;
   /// When the first directory entries were received; empty before.
   std::optional<time_point> mKnownSince;
   bool mIsPollingGroup = false;
