failover: an answer withdraws the proof that an instance has ended

A refused connection proves that an incarnation has ended only as long as it is no accident of the network: connections that are being opened may be reset. An answer on any other connection now withdraws the proof, so that the loss is dated by what is seen later.

--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -490,6 +490,8 @@
   if (reply.IsAnswered()) {
     instance->mHealth.RecordAnswered(Now(), isCommit);
     RecordAnswered(*instance);
+    // The refusal of a connection was no proof after all.
+    instance->mEndedSince.reset();
   } else {
     instance->mHealth.RecordLost(isCommit);
   }
