health: revert the dating of a pending commit by itself

The fault that it was to fix (4,001 ms instead of 1 after a lost commit) is back and stays in the issue: lost commits have to count as long as further ones get no acknowledgement, which the pending ones alone don't show.

--- a/Source/Decisions/clPrimaryHealth.h
+++ b/Source/Decisions/clPrimaryHealth.h
@@ -58,9 +58,6 @@
   {
     void Start(time_point aNow)
     {
-      if (mCount == 0) {
-        mPendingSince = aNow;
-      }
       if (mCount == 0 && !mHasLost) {
         mUnansweredSince = aNow;
       }
@@ -70,7 +67,6 @@
     {
       --mCount;
       mUnansweredSince = aNow;
-      mPendingSince = aNow;
       mHasLost = false;
     }
     void MarkLost()
@@ -86,7 +82,7 @@
 
     nanoseconds PendingFor(time_point aNow) const
     {
-      return mCount > 0 ? nanoseconds(aNow - mPendingSince) : nanoseconds(0);
+      return mCount > 0 ? nanoseconds(aNow - mUnansweredSince) : nanoseconds(0);
     }
 
     std::uint32_t mCount = 0;
@@ -95,8 +91,6 @@
     /// Time of the last response, or the later time at which the first request
     /// without a response was sent.
     time_point mUnansweredSince;
-    /// The same for requests that are still pending, regardless of lost ones.
-    time_point mPendingSince;
   };
 
   pending_requests mAll;
