--- a/Source/Runtime/clHttpClient.cxx
+++ b/Source/Runtime/clHttpClient.cxx
@@ -102,8 +102,9 @@
     http::async_read(mStream,
                      mBuffer,
                      outcome.mResponse,
-                     [&](const beast::error_code& aResult, std::size_t) {
+                     [&](const beast::error_code& aResult, std::size_t aBytes) {
                        code = aResult;
+                       outcome.mReceivedBytes = aBytes;
                        readWait.Notify();
                      });
     readWait.Wait();
--- a/Source/Runtime/clHttpClient.h
+++ b/Source/Runtime/clHttpClient.h
@@ -28,6 +28,8 @@
   /// Error message; empty when mResponse is complete.
   std::string mFailure;
   exchange_progress mProgress = exchange_progress::NotSent;
+  /// Bytes of the response that were received, also if the exchange failed.
+  std::size_t mReceivedBytes = 0;
   http_response mResponse;
 
   bool IsOk() const { return mFailure.empty(); }
--- a/Source/Sessions/clClusterStateMonitor.cxx
+++ b/Source/Sessions/clClusterStateMonitor.cxx
@@ -113,6 +113,15 @@
          mInternalWatcher.HasListed();
 }
 
+void
+cluster_state_monitor::UpdateMetrics() const
+{
+  mContext.mMetrics.mDesiredCheckAge.Set(
+    std::chrono::duration<double>(mContext.Now() -
+                                  mDesiredStateWatcher.CheckedAt())
+      .count());
+}
+
 void
 cluster_state_monitor::RecordStoreCall(bool aSucceeded, std::string_view aCause)
 {
--- a/Source/Sessions/clClusterStateMonitor.h
+++ b/Source/Sessions/clClusterStateMonitor.h
@@ -28,6 +28,9 @@
   /// of leadership; at most one such refresh runs at a time.
   void RefreshLeadership();
 
+  /// Exports how long ago the desired state was last checked.
+  void UpdateMetrics() const;
+
   /// Drops proxies and instances whose entry has been missing for longer than
   /// their grace period.
   void ExpireMissingEntries();
--- a/Source/Sessions/clSessionDaemon.cxx
+++ b/Source/Sessions/clSessionDaemon.cxx
@@ -170,6 +170,7 @@
     mContext.mLoop.Sleep(kHousekeepingInterval);
     const time_point now = mContext.Now();
     mStateMonitor.ExpireMissingEntries();
+    mStateMonitor.UpdateMetrics();
     for (const auto& [service, group] : mContext.mGroups) {
       group->CloseExpiredIdle();
     }
--- a/Source/Sessions/clSessionMetrics.cxx
+++ b/Source/Sessions/clSessionMetrics.cxx
@@ -44,6 +44,17 @@
   , mStoreFailures(AddCounter(*mRegistry,
                               "catkinloom_store_failures_total",
                               "Failed calls to the coordination store."))
+  , mListingFailures(
+      AddCounter(*mRegistry,
+                 "catkinloom_store_listing_failures_total",
+                 "Failed listings of the keys that this proxy watches."))
+  , mWatchFailures(AddCounter(*mRegistry,
+                              "catkinloom_store_watch_failures_total",
+                              "Failed watches of the store."))
+  , mWatchRestarts(
+      AddCounter(*mRegistry,
+                 "catkinloom_store_watch_restarts_total",
+                 "Watches abandoned before their response was complete."))
   , mPromotions(AddCounter(*mRegistry,
                            "catkinloom_promotion_orders_total",
                            "Promotion commands issued by this proxy."))
@@ -54,6 +65,11 @@
   , mDesiredVersion(AddGauge(*mRegistry,
                              "catkinloom_desired_version",
                              "Version of the desired state in effect."))
+  , mDesiredCheckAge(
+      AddGauge(*mRegistry,
+               "catkinloom_desired_check_age_seconds",
+               "Time since a listing or watch of the desired state ended "
+               "successfully."))
   , mSessions(
       AddGauge(*mRegistry, "catkinloom_sessions", "Open caller sessions."))
   , mStatementSeconds(
--- a/Source/Sessions/clSessionMetrics.h
+++ b/Source/Sessions/clSessionMetrics.h
@@ -35,9 +35,13 @@
   prometheus::Counter& mInternalStatements;
   prometheus::Counter& mStoreCalls;
   prometheus::Counter& mStoreFailures;
+  prometheus::Counter& mListingFailures;
+  prometheus::Counter& mWatchFailures;
+  prometheus::Counter& mWatchRestarts;
   prometheus::Counter& mPromotions;
   prometheus::Counter& mLogLinesSuppressed;
   prometheus::Gauge& mDesiredVersion;
+  prometheus::Gauge& mDesiredCheckAge;
   prometheus::Gauge& mSessions;
   prometheus::Histogram& mStatementSeconds;
 };
--- a/Source/Sessions/clStoreWatcher.cxx
+++ b/Source/Sessions/clStoreWatcher.cxx
@@ -1,5 +1,7 @@
 #include "clStoreWatcher.h"
 
+#include "clLog.h"
+
 #include <algorithm>
 
 namespace catkinloom {
@@ -54,6 +56,26 @@
   mContext.AwaitStore(settings.mStoreSlowRetryDelay);
 }
 
+void
+store_watcher::RecordFailure(std::string_view aCall,
+                             prometheus::Counter& aCounter,
+                             time_point aSentAt,
+                             std::string_view aCause) const
+{
+  aCounter.Increment();
+  Log(
+    log_level::Info,
+    "store",
+    "Call failed; the keys are listed again after a delay. call={} prefix={} "
+    "taken_ms={} after={} failures={} cause={}",
+    aCall,
+    mPrefix,
+    std::chrono::duration_cast<milliseconds>(mContext.Now() - aSentAt).count(),
+    mWatchFrom,
+    mConsecutiveFailures,
+    aCause);
+}
+
 bool
 store_watcher::List()
 {
@@ -62,6 +84,10 @@
     mContext.mPorts.mStore.List(mPrefix, mContext.mSettings.mStoreTimeout);
   mOnStoreCall(bool(listing), listing ? "" : listing.error().mDetail);
   if (!listing) {
+    RecordFailure("list",
+                  mContext.mMetrics.mListingFailures,
+                  sentAt,
+                  listing.error().mDetail);
     return false;
   }
   mConsecutiveFailures = 0;
@@ -69,6 +95,7 @@
   mOnList(listing.value());
   mWatchFrom = listing.value().mRevision;
   mListedAt = sentAt;
+  mCheckedAt = mContext.Now();
   mHasListed = true;
   return true;
 }
@@ -77,6 +104,7 @@
 store_watcher::RestartWatch()
 {
   if (mWatch) {
+    mContext.mMetrics.mWatchRestarts.Increment();
     mWatch->mIsAbandoned = true;
     mWatch->mEnded.Notify();
   }
@@ -115,6 +143,7 @@
   if (wait <= milliseconds(0)) {
     return false;
   }
+  const time_point sentAt = mContext.Now();
   const auto answer = AwaitChanges(wait);
   if (!answer) {
     return !mMustRelist;
@@ -122,12 +151,17 @@
   const result<store_changes>& changes = *answer;
   mOnStoreCall(bool(changes), changes ? "" : changes.error().mDetail);
   if (!changes) {
+    RecordFailure("watch",
+                  mContext.mMetrics.mWatchFailures,
+                  sentAt,
+                  changes.error().mDetail);
     PauseAfterFailure();
     return false;
   }
   if (changes.value().mHistoryLost) {
     return false;
   }
+  mCheckedAt = mContext.Now();
   mWatchFrom = std::max(mWatchFrom, changes.value().mRevision);
   if (!changes.value().mEvents.empty()) {
     mOnChange(changes.value().mEvents);
--- a/Source/Sessions/clStoreWatcher.h
+++ b/Source/Sessions/clStoreWatcher.h
@@ -47,6 +47,10 @@
   /// True once a complete listing has been received.
   bool HasListed() const { return mHasListed; }
 
+  /// When the last successful listing or watch ended; the epoch if there was
+  /// none.
+  time_point CheckedAt() const { return mCheckedAt; }
+
   /// Abandons the current watch and sends a new one.  A watch that was sent
   /// during an outage may never be served, although its connection stays open.
   void RestartWatch();
@@ -75,6 +79,11 @@
   /// Sends a watch and returns its response; empty if it was abandoned.
   std::optional<result<store_changes>> AwaitChanges(milliseconds aWait);
   void PauseAfterFailure();
+  /// Logs and counts a failed call that was sent at aSentAt.
+  void RecordFailure(std::string_view aCall,
+                     prometheus::Counter& aCounter,
+                     time_point aSentAt,
+                     std::string_view aCause) const;
 
   session_context& mContext;
   std::string mPrefix;
@@ -86,6 +95,7 @@
   std::shared_ptr<pending_watch> mWatch;
   store_revision mWatchFrom = 0;
   time_point mListedAt;
+  time_point mCheckedAt;
   bool mHasListed = false;
   bool mMustRelist = false;
 };
