store: a large response may take longer than the time-out of a call

Cause: the time-out of 400 ms bounded a whole call. The desired state of 2,866 routes takes 0.5 s on such a link. The watch that brings a change has 10 s, so a process has the state until it must list it: after a reset, an outage, a lost history or its own start. From then on each listing fails at 400 ms and starts again from nothing. The class: a time-out for "does not answer" that also bounds work that grows with the data.

Ruled out: restarted watches (no watch failed) and a silent connection (all of the failed calls were listings, with bytes received).

Change: the time-out of a call to the store applies until the response's header has arrived; its body may take as long as it arrives without a pause of 400 ms. Other HTTP exchanges carry a request's deadline and keep their limit. Where the same cause was looked for: the watch, whose response had to be complete 400 ms after the wait (the same call, the same fix); statements and the HTTP interface's client (deadlines of a caller, right as they are).

Both tests failed before (not in force within 5 s; not ready within 5 s).

--- a/Source/Ports/clCoordinationStore.h
+++ b/Source/Ports/clCoordinationStore.h
@@ -69,8 +69,10 @@
 };
 
 /// The key-value store that holds the state shared by all proxies.  Every call
-/// suspends the calling fiber.  Errors of all calls: PlatformUnavailable; the
-/// store may then still execute a write later, if its condition holds.
+/// suspends the calling fiber.  A time-out applies until the response begins; a
+/// large one then takes as long as it arrives without a pause.  Errors of all
+/// calls: PlatformUnavailable; the store may then still execute a write later,
+/// if its condition holds.
 class coordination_store
 {
 public:
--- a/Source/Runtime/clHttpClient.cxx
+++ b/Source/Runtime/clHttpClient.cxx
@@ -80,34 +80,28 @@
 exchange_result
 http_client_connection::Exchange(const http_request& aRequest,
                                  nanoseconds aTimeout)
+{
+  return ExchangeWithin(aRequest, aTimeout, std::nullopt);
+}
+
+exchange_result
+http_client_connection::ExchangeLarge(const http_request& aRequest,
+                                      nanoseconds aTimeout,
+                                      nanoseconds aMaxPause)
+{
+  return ExchangeWithin(aRequest, aTimeout, aMaxPause);
+}
+
+exchange_result
+http_client_connection::ExchangeWithin(const http_request& aRequest,
+                                       nanoseconds aTimeout,
+                                       std::optional<nanoseconds> aMaxPause)
 {
   exchange_result outcome;
-  beast::error_code code;
-  std::size_t written = 0;
   mStream.expires_after(aTimeout);
-  fiber_wait writeWait;
-  http::async_write(mStream,
-                    aRequest,
-                    [&](const beast::error_code& aResult, std::size_t aBytes) {
-                      code = aResult;
-                      written = aBytes;
-                      writeWait.Notify();
-                    });
-  writeWait.Wait();
-  if (written > 0) {
-    outcome.mProgress = exchange_progress::MaybeSent;
-  }
+  beast::error_code code = WriteRequest(aRequest, outcome);
   if (!code) {
-    fiber_wait readWait;
-    http::async_read(mStream,
-                     mBuffer,
-                     outcome.mResponse,
-                     [&](const beast::error_code& aResult, std::size_t aBytes) {
-                       code = aResult;
-                       outcome.mReceivedBytes = aBytes;
-                       readWait.Notify();
-                     });
-    readWait.Wait();
+    code = ReadResponse(aMaxPause, outcome);
   }
   if (code) {
     outcome.mFailure = code.message();
@@ -121,6 +115,54 @@
   return outcome;
 }
 
+beast::error_code
+http_client_connection::WriteRequest(const http_request& aRequest,
+                                     exchange_result& aOutcome)
+{
+  beast::error_code code;
+  fiber_wait wait;
+  http::async_write(mStream,
+                    aRequest,
+                    [&](const beast::error_code& aResult, std::size_t aBytes) {
+                      code = aResult;
+                      if (aBytes > 0) {
+                        aOutcome.mProgress = exchange_progress::MaybeSent;
+                      }
+                      wait.Notify();
+                    });
+  wait.Wait();
+  return code;
+}
+
+beast::error_code
+http_client_connection::ReadResponse(std::optional<nanoseconds> aMaxPause,
+                                     exchange_result& aOutcome)
+{
+  http::response_parser<http::string_body> parser;
+  beast::error_code code;
+  fiber_wait headerWait;
+  const auto onRead = [&](fiber_wait& aWait) {
+    return
+      [&, &wait = aWait](const beast::error_code& aResult, std::size_t aBytes) {
+        code = aResult;
+        aOutcome.mReceivedBytes += aBytes;
+        wait.Notify();
+      };
+  };
+  http::async_read_header(mStream, mBuffer, parser, onRead(headerWait));
+  headerWait.Wait();
+  while (!code && !parser.is_done()) {
+    if (aMaxPause) {
+      mStream.expires_after(*aMaxPause);
+    }
+    fiber_wait partWait;
+    http::async_read_some(mStream, mBuffer, parser, onRead(partWait));
+    partWait.Wait();
+  }
+  aOutcome.mResponse = parser.release();
+  return code;
+}
+
 bool
 http_client_connection::IsReusable()
 {
--- a/Source/Runtime/clHttpClient.h
+++ b/Source/Runtime/clHttpClient.h
@@ -5,8 +5,10 @@
 #include "clHttpMessage.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <optional>
 #include <string>
 
 namespace catkinloom {
@@ -49,6 +51,13 @@
   /// request.
   exchange_result Exchange(const http_request& aRequest, nanoseconds aTimeout);
 
+  /// The same for a response of any size: the timeout applies until its header
+  /// has arrived, and its body may take as long as no two of its parts arrive
+  /// more than aMaxPause apart.
+  exchange_result ExchangeLarge(const http_request& aRequest,
+                                nanoseconds aTimeout,
+                                nanoseconds aMaxPause);
+
   /// False when the server closed the connection or sent unsolicited data.
   bool IsReusable();
 
@@ -56,6 +65,15 @@
   bool IsOpen() const { return mOpen; }
 
 private:
+  /// aMaxPause: empty if aTimeout applies to the whole exchange.
+  exchange_result ExchangeWithin(const http_request& aRequest,
+                                 nanoseconds aTimeout,
+                                 std::optional<nanoseconds> aMaxPause);
+  boost::beast::error_code WriteRequest(const http_request& aRequest,
+                                        exchange_result& aOutcome);
+  boost::beast::error_code ReadResponse(std::optional<nanoseconds> aMaxPause,
+                                        exchange_result& aOutcome);
+
   event_loop& mLoop;
   boost::beast::tcp_stream mStream;
   boost::beast::flat_buffer mBuffer;
--- a/StandIns/loopback_relay.py
+++ b/StandIns/loopback_relay.py
@@ -1,10 +1,15 @@
 """A TCP relay on the loopback address that injects network faults.
 
-Tests put it between two processes to delay or reset their connections, or to
-block one or both directions, without changes to the processes.
+Tests put it between two processes to delay or reset their connections, to
+limit their bandwidth, or to block one or both directions, without changes to
+the processes.
 """
 
 import asyncio
+import time
+
+#: Maximum number of bytes that are forwarded at once.
+READ_BYTES = 16384
 
 #: Directions of a relayed connection.
 CLIENT_TO_TARGET, TARGET_TO_CLIENT = "forth", "back"
@@ -16,6 +21,11 @@
     def __init__(self, target):
         self.target = target
         self.delay_s = 0.0
+        #: Bandwidth that all connections share in each direction; None for no
+        #: limit.
+        self.bytes_per_s = None
+        #: Time at which each direction has sent what it has accepted.
+        self.sent_at = {}
         #: Directions in which no data is forwarded; it is held back until the
         #: direction is removed.
         self.blocked_directions = set()
@@ -37,6 +47,7 @@
 
     def clear_faults(self):
         self.delay_s, self.refuses_connections = 0.0, False
+        self.bytes_per_s = None
         self.blocked_directions.clear()
 
     async def serve(self, reader, writer):
@@ -59,13 +70,22 @@
             # would only add noise to the output.
             pass
 
+    async def await_bandwidth(self, direction, size):
+        if self.bytes_per_s is None:
+            return
+        now = time.monotonic()
+        start = max(now, self.sent_at.get(direction, now))
+        self.sent_at[direction] = start + size / self.bytes_per_s
+        await asyncio.sleep(self.sent_at[direction] - now)
+
     async def pump(self, reader, writer, direction):
         self.writers.add(writer)
         try:
             while True:
-                data = await reader.read(65536)
+                data = await reader.read(READ_BYTES)
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
+                await self.await_bandwidth(direction, len(data))
                 while direction in self.blocked_directions:
                     await asyncio.sleep(0.02)
                 if not data:
--- a/Tests/Processes/fleet_case.py
+++ b/Tests/Processes/fleet_case.py
@@ -158,9 +158,9 @@
         self.fleet = Fleet()
         self.addCleanup(self.fleet.stop)
         self.fleet.set_desired_state(2, ROUTES)
+        store = self.store_address()
         self.proxies = [
-            Proxy(name, zone, self.fleet.store_address,
-                  pathlib.Path(self.folder.name))
+            Proxy(name, zone, store, pathlib.Path(self.folder.name))
             for name, zone in self.PROXIES]
         for proxy in self.proxies:
             proxy.start()
@@ -168,6 +168,10 @@
         for proxy in self.proxies:
             wait_until(proxy.is_ready)
 
+    def store_address(self):
+        """Address at which the proxies reach the store."""
+        return self.fleet.store_address
+
     def caller(self, database, proxy=0):
         caller = Caller(self.proxies[proxy], database)
         self.addCleanup(caller.close)
--- /dev/null
+++ b/Tests/Processes/test_changes.py
@@ -0,0 +1,61 @@
+"""Changes of the desired state through faults between a proxy and the store."""
+
+import time
+import unittest
+
+from fleet_case import Caller, FleetCase, ROUTES, wait_until
+from loopback_relay import Relay
+
+#: Seconds from the confirmation of a change until it must be in force.
+MAX_CHANGE_S = 5
+#: Bandwidth of the narrowest links of the deployments, 10 Mbit/s.
+NARROW_LINK_BYTES_PER_S = 1250000
+#: Routes of a desired state that is close to the store's limit of 1 MiB.
+LARGE_STATE_ROUTES = 6000
+
+
+class ChangeTest(FleetCase):
+    """One proxy reaches the store through a relay."""
+
+    PROXIES = (("p-1", "a"),)
+
+    def store_address(self):
+        self.relay = self.fleet.run(Relay(self.fleet.store_address).start())
+        return self.relay.address
+
+    def is_served(self, database):
+        caller = Caller(self.proxies[0], database)
+        caller.close()
+        return caller.startup_response.startswith("READY")
+
+    def set_large_state(self, version, routes):
+        added = {f"idle-{number}": "primary"
+                 for number in range(LARGE_STATE_ROUTES)}
+        self.fleet.set_desired_state(version, {**added, **routes})
+
+    def test_large_state_after_reset_on_narrow_link_is_in_force_in_time(self):
+        """Regression test for issue 28.
+
+        A listing that took longer than a call's time-out was repeated without
+        end, so that no later version came into force.
+        """
+        self.relay.bytes_per_s = NARROW_LINK_BYTES_PER_S
+        self.set_large_state(5, {**ROUTES, "first": "primary"})
+        wait_until(lambda: self.is_served("first"), MAX_CHANGE_S)
+        self.relay.reset()
+        time.sleep(1)
+        self.set_large_state(7, {**ROUTES, "second": "primary"})
+        wait_until(lambda: self.is_served("second"), MAX_CHANGE_S)
+
+    def test_large_state_at_start_on_narrow_link_is_served(self):
+        """Regression test for issue 28: the same at the start of a process."""
+        self.relay.bytes_per_s = NARROW_LINK_BYTES_PER_S
+        self.set_large_state(5, {**ROUTES, "first": "primary"})
+        self.proxies[0].stop()
+        self.proxies[0].start()
+        wait_until(self.proxies[0].is_ready, MAX_CHANGE_S)
+        self.assertTrue(self.is_served("first"))
+
+
+if __name__ == "__main__":
+    unittest.main()
