store: an abandoned watch closes its connection

A change of a large desired state came into force late on VMs with a narrow link after the store had failed several times for a moment.

Cause: each "Store reached" abandons the watch under way and sends a new one, but the abandoned one kept its connection. The store answered both, so that every flap within 10 s added a copy of the next change to the link; and a watch whose response was arriving was abandoned as well and started from nothing.

Change: abandoning a watch closes its connection, and a watch whose response has begun to arrive is kept. A listing that is asked for while no watch waits is no longer forgotten (the flag was read only after an abandoned watch).

The test failed before (not in force within 5 s).

--- a/Source/Ports/clCoordinationStore.h
+++ b/Source/Ports/clCoordinationStore.h
@@ -4,6 +4,7 @@
 #include "clError.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,16 @@
   bool mHistoryLost = false;
 };
 
+/// A call under way, which another fiber may observe and cancel.
+struct store_call
+{
+  /// The response has begun to arrive.
+  bool mIsAnswered = false;
+  /// Ends the call and closes its connection; the call then fails.  Empty while
+  /// no call is under way.
+  std::function<void()> mCancel;
+};
+
 /// Outcome of a conditional write.
 enum class store_write_outcome
 {
@@ -82,10 +93,12 @@
   virtual result<store_listing> List(const std::string& aPrefix,
                                      milliseconds aTimeout) = 0;
 
-  /// Waits up to aWait for changes after the revision aAfter.
+  /// Waits up to aWait for changes after the revision aAfter.  aCall must
+  /// outlive the call.
   virtual result<store_changes> Watch(const std::string& aPrefix,
                                       store_revision aAfter,
-                                      milliseconds aWait) = 0;
+                                      milliseconds aWait,
+                                      store_call& aCall) = 0;
 
   /// Writes a key if it has the revision aExpected; 0 means that the key must
   /// not exist.  The key is attached to aLease and deleted when it ends; 0
--- a/Source/Runtime/clHttpClient.cxx
+++ b/Source/Runtime/clHttpClient.cxx
@@ -87,21 +87,24 @@
 exchange_result
 http_client_connection::ExchangeLarge(const http_request& aRequest,
                                       nanoseconds aTimeout,
-                                      nanoseconds aMaxPause)
+                                      nanoseconds aMaxPause,
+                                      const std::function<void()>& aOnHeader)
 {
-  return ExchangeWithin(aRequest, aTimeout, aMaxPause);
+  return ExchangeWithin(
+    aRequest, aTimeout, large_response{ aMaxPause, aOnHeader });
 }
 
 exchange_result
-http_client_connection::ExchangeWithin(const http_request& aRequest,
-                                       nanoseconds aTimeout,
-                                       std::optional<nanoseconds> aMaxPause)
+http_client_connection::ExchangeWithin(
+  const http_request& aRequest,
+  nanoseconds aTimeout,
+  const std::optional<large_response>& aLarge)
 {
   exchange_result outcome;
   mStream.expires_after(aTimeout);
   beast::error_code code = WriteRequest(aRequest, outcome);
   if (!code) {
-    code = ReadResponse(aMaxPause, outcome);
+    code = ReadResponse(aLarge, outcome);
   }
   if (code) {
     outcome.mFailure = code.message();
@@ -135,8 +138,9 @@
 }
 
 beast::error_code
-http_client_connection::ReadResponse(std::optional<nanoseconds> aMaxPause,
-                                     exchange_result& aOutcome)
+http_client_connection::ReadResponse(
+  const std::optional<large_response>& aLarge,
+  exchange_result& aOutcome)
 {
   http::response_parser<http::string_body> parser;
   beast::error_code code;
@@ -151,9 +155,12 @@
   };
   http::async_read_header(mStream, mBuffer, parser, onRead(headerWait));
   headerWait.Wait();
+  if (!code && aLarge) {
+    aLarge->mOnHeader();
+  }
   while (!code && !parser.is_done()) {
-    if (aMaxPause) {
-      mStream.expires_after(*aMaxPause);
+    if (aLarge) {
+      mStream.expires_after(aLarge->mMaxPause);
     }
     fiber_wait partWait;
     http::async_read_some(mStream, mBuffer, parser, onRead(partWait));
--- a/Source/Runtime/clHttpClient.h
+++ b/Source/Runtime/clHttpClient.h
@@ -8,6 +8,7 @@
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -53,26 +54,36 @@
 
   /// The same for a response of any size: the timeout applies until its header
   /// has arrived, and its body may take as long as no two of its parts arrive
-  /// more than aMaxPause apart.
+  /// more than aMaxPause apart.  Calls aOnHeader when the header has arrived.
   exchange_result ExchangeLarge(const http_request& aRequest,
                                 nanoseconds aTimeout,
-                                nanoseconds aMaxPause);
+                                nanoseconds aMaxPause,
+                                const std::function<void()>& aOnHeader);
 
   /// False when the server closed the connection or sent unsolicited data.
   bool IsReusable();
 
+  /// Closes the connection; an exchange under way fails.
   void Close();
   bool IsOpen() const { return mOpen; }
 
 private:
-  /// aMaxPause: empty if aTimeout applies to the whole exchange.
+  /// How the body of a large response is read.
+  struct large_response
+  {
+    nanoseconds mMaxPause;
+    std::function<void()> mOnHeader;
+  };
+
+  /// aLarge: empty if aTimeout applies to the whole exchange.
   exchange_result ExchangeWithin(const http_request& aRequest,
                                  nanoseconds aTimeout,
-                                 std::optional<nanoseconds> aMaxPause);
+                                 const std::optional<large_response>& aLarge);
   boost::beast::error_code WriteRequest(const http_request& aRequest,
                                         exchange_result& aOutcome);
-  boost::beast::error_code ReadResponse(std::optional<nanoseconds> aMaxPause,
-                                        exchange_result& aOutcome);
+  boost::beast::error_code ReadResponse(
+    const std::optional<large_response>& aLarge,
+    exchange_result& aOutcome);
 
   event_loop& mLoop;
   boost::beast::tcp_stream mStream;
--- a/Source/Sessions/clStoreWatcher.cxx
+++ b/Source/Sessions/clStoreWatcher.cxx
@@ -103,10 +103,14 @@
 void
 store_watcher::RestartWatch()
 {
-  if (mWatch) {
-    mContext.mMetrics.mWatchRestarts.Increment();
-    mWatch->mIsAbandoned = true;
-    mWatch->mEnded.Notify();
+  if (!mWatch || mWatch->mCall.mIsAnswered) {
+    return;
+  }
+  mContext.mMetrics.mWatchRestarts.Increment();
+  mWatch->mIsAbandoned = true;
+  mWatch->mEnded.Notify();
+  if (mWatch->mCall.mCancel) {
+    mWatch->mCall.mCancel();
   }
 }
 
@@ -123,7 +127,11 @@
   auto watch = std::make_shared<pending_watch>(mContext.mLoop);
   mWatch = watch;
   mContext.mLoop.Spawn([this, watch, aWait, from = mWatchFrom] {
-    watch->mAnswer = mContext.mPorts.mStore.Watch(mPrefix, from, aWait);
+    if (watch->mIsAbandoned) {
+      return;
+    }
+    watch->mAnswer =
+      mContext.mPorts.mStore.Watch(mPrefix, from, aWait, watch->mCall);
     watch->mEnded.Notify();
   });
   while (!watch->mAnswer && !watch->mIsAbandoned) {
@@ -136,6 +144,9 @@
 bool
 store_watcher::Watch()
 {
+  if (mMustRelist) {
+    return false;
+  }
   const session_settings& settings = mContext.mSettings;
   const nanoseconds left = mListedAt + settings.mListInterval - mContext.Now();
   const auto wait = std::chrono::duration_cast<milliseconds>(
@@ -146,7 +157,7 @@
   const time_point sentAt = mContext.Now();
   const auto answer = AwaitChanges(wait);
   if (!answer) {
-    return !mMustRelist;
+    return true;
   }
   const result<store_changes>& changes = *answer;
   mOnStoreCall(bool(changes), changes ? "" : changes.error().mDetail);
--- a/Source/Sessions/clStoreWatcher.h
+++ b/Source/Sessions/clStoreWatcher.h
@@ -51,15 +51,18 @@
   /// none.
   time_point CheckedAt() const { return mCheckedAt; }
 
-  /// Abandons the current watch and sends a new one.  A watch that was sent
-  /// during an outage may never be served, although its connection stays open.
+  /// Cancels the current watch and sends a new one, unless a response to it is
+  /// arriving.  A watch that was sent during an outage may never be served,
+  /// although its connection stays open.
   void RestartWatch();
 
   /// Lists all keys again.
   void Relist();
 
 private:
-  /// A watch under way, in its own fiber so that it can be abandoned.
+  /// A watch under way, in its own fiber so that it can be abandoned.  Its
+  /// connection is closed then: otherwise a later change would be sent on it as
+  /// well.
   struct pending_watch
   {
     explicit pending_watch(event_loop& aLoop)
@@ -68,6 +71,7 @@
     }
 
     fiber_signal mEnded;
+    store_call mCall;
     std::optional<result<store_changes>> mAnswer;
     bool mIsAbandoned = false;
   };
--- a/Tests/Processes/test_changes.py
+++ b/Tests/Processes/test_changes.py
@@ -56,6 +56,24 @@
         wait_until(self.proxies[0].is_ready, MAX_CHANGE_S)
         self.assertTrue(self.is_served("first"))
 
+    def test_large_state_after_store_errors_is_transferred_once(self):
+        """Regression test for issue 28.
+
+        Each watch that was abandoned after an error of the store still received
+        the next change, so that many copies of it shared the narrow link.
+        """
+        self.relay.bytes_per_s = NARROW_LINK_BYTES_PER_S
+        self.set_large_state(5, {**ROUTES, "first": "primary"})
+        wait_until(lambda: self.is_served("first"), MAX_CHANGE_S)
+        caller = self.caller("current")
+        for mode in ("busy", "up") * 7:
+            self.fleet.store.mode = mode
+            end = time.monotonic() + 0.5
+            while time.monotonic() < end:
+                caller.read("x")
+        self.set_large_state(7, {**ROUTES, "second": "primary"})
+        wait_until(lambda: self.is_served("second"), MAX_CHANGE_S)
+
 
 if __name__ == "__main__":
     unittest.main()
