store: changes larger than a listing are listed instead of watched

A watch returns each value that a key had, so that changes of a large desired state in quick succession put a VM with a narrow link further behind with each response: nine changes of 1 MB, 0.3 s apart, at 10 Mbit/s were in force more than 5 s after the last one.

Change: a response to a watch that is more than 64 KiB larger than the last listing is not received, since its size stands in its header; the keys are listed instead, which transfers the newest value only. A line is logged for it.

Ruled out: listing after each restart of a watch, which would transfer the state where nothing changed.

The test failed before (last change not in force within 5 s).

--- a/Source/Ports/clCoordinationStore.h
+++ b/Source/Ports/clCoordinationStore.h
@@ -3,6 +3,7 @@
 #include "clClock.h"
 #include "clError.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -32,6 +33,8 @@
 {
   std::vector<store_item> mItems;
   store_revision mRevision = 0;
+  /// Size of the response.
+  std::size_t mBytes = 0;
 };
 
 /// A change of one key.
@@ -47,8 +50,9 @@
   std::vector<store_event> mEvents;
   /// Revision after which the next watch continues.
   store_revision mRevision = 0;
-  /// The store has dropped part of its history; the keys must be listed again.
-  bool mHistoryLost = false;
+  /// The keys must be listed again: the store has dropped part of its history,
+  /// or the response with all changes exceeds the given size.
+  bool mNeedsListing = false;
 };
 
 /// A call under way, which another fiber may observe and cancel.
@@ -93,11 +97,12 @@
   virtual result<store_listing> List(const std::string& aPrefix,
                                      milliseconds aTimeout) = 0;
 
-  /// Waits up to aWait for changes after the revision aAfter.  aCall must
-  /// outlive the call.
+  /// Waits up to aWait for changes after the revision aAfter.  A response with
+  /// more than aMaxBytes is not received.  aCall must outlive the call.
   virtual result<store_changes> Watch(const std::string& aPrefix,
                                       store_revision aAfter,
                                       milliseconds aWait,
+                                      std::size_t aMaxBytes,
                                       store_call& aCall) = 0;
 
   /// Writes a key if it has the revision aExpected; 0 means that the key must
--- a/Source/Runtime/clHttpClient.cxx
+++ b/Source/Runtime/clHttpClient.cxx
@@ -81,24 +81,21 @@
 http_client_connection::Exchange(const http_request& aRequest,
                                  nanoseconds aTimeout)
 {
-  return ExchangeWithin(aRequest, aTimeout, std::nullopt);
+  return ExchangeWithin(aRequest, aTimeout, nullptr);
 }
 
 exchange_result
 http_client_connection::ExchangeLarge(const http_request& aRequest,
                                       nanoseconds aTimeout,
-                                      nanoseconds aMaxPause,
-                                      const std::function<void()>& aOnHeader)
+                                      const large_response_options& aOptions)
 {
-  return ExchangeWithin(
-    aRequest, aTimeout, large_response{ aMaxPause, aOnHeader });
+  return ExchangeWithin(aRequest, aTimeout, &aOptions);
 }
 
 exchange_result
-http_client_connection::ExchangeWithin(
-  const http_request& aRequest,
-  nanoseconds aTimeout,
-  const std::optional<large_response>& aLarge)
+http_client_connection::ExchangeWithin(const http_request& aRequest,
+                                       nanoseconds aTimeout,
+                                       const large_response_options* aLarge)
 {
   exchange_result outcome;
   mStream.expires_after(aTimeout);
@@ -108,6 +105,7 @@
   }
   if (code) {
     outcome.mFailure = code.message();
+    outcome.mIsTooLarge = code == http::error::body_limit;
     Close();
     return outcome;
   }
@@ -138,11 +136,13 @@
 }
 
 beast::error_code
-http_client_connection::ReadResponse(
-  const std::optional<large_response>& aLarge,
-  exchange_result& aOutcome)
+http_client_connection::ReadResponse(const large_response_options* aLarge,
+                                     exchange_result& aOutcome)
 {
   http::response_parser<http::string_body> parser;
+  if (aLarge != nullptr) {
+    parser.body_limit(aLarge->mMaxBytes);
+  }
   beast::error_code code;
   fiber_wait headerWait;
   const auto onRead = [&](fiber_wait& aWait) {
@@ -155,11 +155,11 @@
   };
   http::async_read_header(mStream, mBuffer, parser, onRead(headerWait));
   headerWait.Wait();
-  if (!code && aLarge) {
+  if (!code && aLarge != nullptr && aLarge->mOnHeader) {
     aLarge->mOnHeader();
   }
   while (!code && !parser.is_done()) {
-    if (aLarge) {
+    if (aLarge != nullptr) {
       mStream.expires_after(aLarge->mMaxPause);
     }
     fiber_wait partWait;
--- a/Source/Runtime/clHttpClient.h
+++ b/Source/Runtime/clHttpClient.h
@@ -8,8 +8,8 @@
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <cstddef>
 #include <functional>
-#include <optional>
 #include <string>
 
 namespace catkinloom {
@@ -31,6 +31,8 @@
   /// Error message; empty when mResponse is complete.
   std::string mFailure;
   exchange_progress mProgress = exchange_progress::NotSent;
+  /// The exchange failed since the response's body exceeds the maximum size.
+  bool mIsTooLarge = false;
   /// Bytes of the response that were received, also if the exchange failed.
   std::size_t mReceivedBytes = 0;
   http_response mResponse;
@@ -38,6 +40,17 @@
   bool IsOk() const { return mFailure.empty(); }
 };
 
+/// How a response of any size is received.
+struct large_response_options
+{
+  /// Longest pause between two parts of the body.
+  nanoseconds mMaxPause{};
+  /// Maximum size of the body.
+  std::size_t mMaxBytes = 0;
+  /// Called when the header has arrived.
+  std::function<void()> mOnHeader;
+};
+
 /// HTTP/1.1 client connection, used by one fiber at a time.
 class http_client_connection
 {
@@ -53,12 +66,10 @@
   exchange_result Exchange(const http_request& aRequest, nanoseconds aTimeout);
 
   /// The same for a response of any size: the timeout applies until its header
-  /// has arrived, and its body may take as long as no two of its parts arrive
-  /// more than aMaxPause apart.  Calls aOnHeader when the header has arrived.
+  /// has arrived.
   exchange_result ExchangeLarge(const http_request& aRequest,
                                 nanoseconds aTimeout,
-                                nanoseconds aMaxPause,
-                                const std::function<void()>& aOnHeader);
+                                const large_response_options& aOptions);
 
   /// False when the server closed the connection or sent unsolicited data.
   bool IsReusable();
@@ -68,22 +79,14 @@
   bool IsOpen() const { return mOpen; }
 
 private:
-  /// How the body of a large response is read.
-  struct large_response
-  {
-    nanoseconds mMaxPause;
-    std::function<void()> mOnHeader;
-  };
-
-  /// aLarge: empty if aTimeout applies to the whole exchange.
+  /// aLarge: null if aTimeout applies to the whole exchange.
   exchange_result ExchangeWithin(const http_request& aRequest,
                                  nanoseconds aTimeout,
-                                 const std::optional<large_response>& aLarge);
+                                 const large_response_options* aLarge);
   boost::beast::error_code WriteRequest(const http_request& aRequest,
                                         exchange_result& aOutcome);
-  boost::beast::error_code ReadResponse(
-    const std::optional<large_response>& aLarge,
-    exchange_result& aOutcome);
+  boost::beast::error_code ReadResponse(const large_response_options* aLarge,
+                                        exchange_result& aOutcome);
 
   event_loop& mLoop;
   boost::beast::tcp_stream mStream;
--- a/Source/Sessions/clStoreWatcher.cxx
+++ b/Source/Sessions/clStoreWatcher.cxx
@@ -12,6 +12,11 @@
 /// retries at the long interval.
 constexpr std::uint32_t kMaxShortDelays = 6;
 
+/// Size by which the response to a watch may exceed the last listing.  It holds
+/// every value that a key had since the last response, and a listing only the
+/// newest one.
+constexpr std::size_t kMaxSurplusBytes = 65536;
+
 } // namespace
 
 store_watcher::store_watcher(session_context& aContext,
@@ -94,6 +99,7 @@
   mMustRelist = false;
   mOnList(listing.value());
   mWatchFrom = listing.value().mRevision;
+  mListedBytes = listing.value().mBytes;
   mListedAt = sentAt;
   mCheckedAt = mContext.Now();
   mHasListed = true;
@@ -130,8 +136,8 @@
     if (watch->mIsAbandoned) {
       return;
     }
-    watch->mAnswer =
-      mContext.mPorts.mStore.Watch(mPrefix, from, aWait, watch->mCall);
+    watch->mAnswer = mContext.mPorts.mStore.Watch(
+      mPrefix, from, aWait, mListedBytes + kMaxSurplusBytes, watch->mCall);
     watch->mEnded.Notify();
   });
   while (!watch->mAnswer && !watch->mIsAbandoned) {
@@ -169,7 +175,13 @@
     PauseAfterFailure();
     return false;
   }
-  if (changes.value().mHistoryLost) {
+  if (changes.value().mNeedsListing) {
+    Log(log_level::Info,
+        "store",
+        "Watch can't continue, its history was dropped or is larger than a "
+        "listing; the keys are listed again. prefix={} after={}",
+        mPrefix,
+        mWatchFrom);
     return false;
   }
   mCheckedAt = mContext.Now();
--- a/Source/Sessions/clStoreWatcher.h
+++ b/Source/Sessions/clStoreWatcher.h
@@ -22,8 +22,9 @@
 /// Watches all keys under one prefix of the coordination store.
 ///
 /// It lists the keys once and then watches for changes.  It lists them again
-/// when the store has dropped the history that the watch needs, and regularly
-/// at a long interval.  During a store outage it reports no changes.
+/// when the store has dropped the history that the watch needs, when the
+/// changes since the last response are larger than a listing, and regularly at
+/// a long interval.  During a store outage it reports no changes.
 class store_watcher
 {
 public:
@@ -98,6 +99,8 @@
   store_call_handler mOnStoreCall;
   std::shared_ptr<pending_watch> mWatch;
   store_revision mWatchFrom = 0;
+  /// Size of the last listing.
+  std::size_t mListedBytes = 0;
   time_point mListedAt;
   time_point mCheckedAt;
   bool mHasListed = false;
--- a/Tests/Processes/test_changes.py
+++ b/Tests/Processes/test_changes.py
@@ -74,6 +74,20 @@
         self.set_large_state(7, {**ROUTES, "second": "primary"})
         wait_until(lambda: self.is_served("second"), MAX_CHANGE_S)
 
+    def test_large_states_in_quick_succession_last_one_is_in_force_in_time(
+            self):
+        """Regression test for issue 28.
+
+        A watch transfers every version since the last one, so that a proxy on a
+        narrow link fell behind more with each change.
+        """
+        self.relay.bytes_per_s = NARROW_LINK_BYTES_PER_S
+        for number in range(9):
+            self.set_large_state(5 + number,
+                                 {**ROUTES, f"added-{number}": "primary"})
+            time.sleep(0.3)
+        wait_until(lambda: self.is_served("added-8"), MAX_CHANGE_S)
+
 
 if __name__ == "__main__":
     unittest.main()
