store: a watch without a response ends within the time that a change has

Where the store took a watch and never answered it, while all other calls of the process succeeded, a change came into force after up to 10.4 s, and a leaving instance got new work as long.

Cause: only a failed call, followed by a successful one, restarts the watches; a watch that alone is not served fails no call. Its own limit of 10 s was no part of what is promised (3 or 5 s for a change, 7 s for a leaving instance).

Weighed: TCP_USER_TIMEOUT, which no test here can show.

Change: a watch of the desired state lasts at most half of the time that a change has, one of the directory 5 s. The watch of failover records keeps 10 s: nothing is promised by it, evidence is asked for by other calls.

Both tests failed before (not in force within 3 s; reads at the leaving instance after 7 s).

--- a/Source/Sessions/clClusterStateMonitor.cxx
+++ b/Source/Sessions/clClusterStateMonitor.cxx
@@ -37,6 +37,7 @@
       aContext,
       std::string(aContext.mPorts.mDirectory.OperatorPrefix()),
       store_retry::Probing,
+      aContext.mSettings.mDesiredWatchTimeout,
       [this](const store_listing& aListing) {
         for (const store_item& item : aListing.mItems) {
           ApplyDesiredStateItem(item);
@@ -56,6 +57,7 @@
       aContext,
       std::string(aContext.mPorts.mDirectory.InstancePrefix()),
       store_retry::Waiting,
+      aContext.mSettings.mDirectoryWatchTimeout,
       [this](const store_listing& aListing) {
         mInstances.clear();
         for (const store_item& item : aListing.mItems) {
@@ -77,6 +79,7 @@
       aContext,
       std::string(store_keys::kInternalPrefix),
       store_retry::Waiting,
+      aContext.mSettings.mWatchTimeout,
       [this](const store_listing& aListing) {
         for (auto& [name, proxy] : mProxies) {
           proxy.mIsRegistered = false;
--- a/Source/Sessions/clSessionSettings.cxx
+++ b/Source/Sessions/clSessionSettings.cxx
@@ -16,6 +16,10 @@
 /// effect; bounds the retry delay.
 constexpr int kRetriesPerChange = 5;
 
+/// Percentage of the time allowed for a change to take effect that a watch of
+/// the desired state may last.  The rest is for a listing after it.
+constexpr int kDesiredWatchPercent = 50;
+
 } // namespace
 
 session_settings
@@ -36,6 +40,9 @@
   settings.mStoreSlowRetryDelay =
     std::min(settings.mStoreSlowRetryDelay,
              aBounds.mMaxChangePropagation / kRetriesPerChange);
+  settings.mDesiredWatchTimeout =
+    std::min(settings.mWatchTimeout,
+             aBounds.mMaxChangePropagation * kDesiredWatchPercent / 100);
   settings.mStoreRetryDelay =
     std::min(settings.mStoreRetryDelay, settings.mStoreSlowRetryDelay);
   return settings;
--- a/Source/Sessions/clSessionSettings.h
+++ b/Source/Sessions/clSessionSettings.h
@@ -55,9 +55,15 @@
   milliseconds mMaxLeaderWait{ 1000 };
   /// Time-out of a call to the store.
   milliseconds mStoreTimeout{ 400 };
-  /// Maximum duration of a watch.  An unresponsive connection is detected
-  /// earlier by TCP keep-alive.
+  /// Maximum duration of a watch.  TCP keep-alive detects most unresponsive
+  /// connections earlier.  Nothing else detects a watch that the store does not
+  /// serve although its connection is open.
   milliseconds mWatchTimeout{ 10000 };
+  /// The same for a watch of the directory: an instance that is leaving must
+  /// get no new work within its drain time, 7 s.
+  milliseconds mDirectoryWatchTimeout{ 5000 };
+  /// The same for a watch of the desired state.
+  milliseconds mDesiredWatchTimeout{ 1500 };
   /// Delay before a watch is continued after changes, so that changes in quick
   /// succession arrive together.
   milliseconds mWatchBatchDelay{ 100 };
--- a/Source/Sessions/clStoreWatcher.cxx
+++ b/Source/Sessions/clStoreWatcher.cxx
@@ -22,12 +22,14 @@
 store_watcher::store_watcher(session_context& aContext,
                              std::string aPrefix,
                              store_retry aRetry,
+                             milliseconds aMaxWait,
                              list_handler aOnList,
                              change_handler aOnChange,
                              store_call_handler aOnStoreCall)
   : mContext(aContext)
   , mPrefix(std::move(aPrefix))
   , mRetry(aRetry)
+  , mMaxWait(aMaxWait)
   , mOnList(std::move(aOnList))
   , mOnChange(std::move(aOnChange))
   , mOnStoreCall(std::move(aOnStoreCall))
@@ -156,7 +158,7 @@
   const session_settings& settings = mContext.mSettings;
   const nanoseconds left = mListedAt + settings.mListInterval - mContext.Now();
   const auto wait = std::chrono::duration_cast<milliseconds>(
-    std::min<nanoseconds>(left, settings.mWatchTimeout));
+    std::min<nanoseconds>(left, mMaxWait));
   if (wait <= milliseconds(0)) {
     return false;
   }
--- a/Source/Sessions/clStoreWatcher.h
+++ b/Source/Sessions/clStoreWatcher.h
@@ -38,6 +38,7 @@
   store_watcher(session_context& aContext,
                 std::string aPrefix,
                 store_retry aRetry,
+                milliseconds aMaxWait,
                 list_handler aOnList,
                 change_handler aOnChange,
                 store_call_handler aOnStoreCall);
@@ -93,6 +94,8 @@
   session_context& mContext;
   std::string mPrefix;
   store_retry mRetry;
+  /// Maximum duration of a watch.
+  milliseconds mMaxWait;
   std::uint32_t mConsecutiveFailures = 0;
   list_handler mOnList;
   change_handler mOnChange;
--- a/StandIns/fleet_stand_in.py
+++ b/StandIns/fleet_stand_in.py
@@ -34,6 +34,8 @@
         self.mode = "up"
         #: Number of transactions that run and whose response is not sent.
         self.lose_answers = 0
+        #: Watches that arrive get no response, and their connections stay open.
+        self.ignores_watches = False
 
     async def write(self, key, value, lease=0):
         self.revision += 1
@@ -442,7 +444,8 @@
         elif self.store.mode == "silent":
             await asyncio.sleep(5)
             return False
-        elif self.store.mode == "mute":
+        elif self.store.mode == "mute" or \
+                self.store.ignores_watches and path == "/kv-watch":
             # The connection stays open, and no request on it gets a response.
             await asyncio.sleep(60)
             return False
--- a/Tests/Processes/test_changes.py
+++ b/Tests/Processes/test_changes.py
@@ -12,6 +12,52 @@
 NARROW_LINK_BYTES_PER_S = 1250000
 #: Routes of a desired state that is close to the store's limit of 1 MiB.
 LARGE_STATE_ROUTES = 6000
+#: The same bound of a proxy without a setting for it.
+DEFAULT_MAX_CHANGE_S = 3
+#: Seconds from an instance's report that it drains until it gets no new work;
+#: the strictest bound of the deployments.
+MAX_DRAIN_S = 7
+
+
+class IgnoredWatchTest(FleetCase):
+    """A watch gets no response while all other calls to the store succeed."""
+
+    PROXIES = (("p-1", "b"),)
+
+    def ignore_next_watches(self):
+        """Makes the proxy send new watches, which get no response."""
+        self.fleet.store.ignores_watches = True
+        self.fleet.set_desired_state(5, ROUTES)
+        self.fleet.run(self.fleet.instances["i-2"].register())
+        time.sleep(0.5)
+        self.fleet.store.ignores_watches = False
+
+    def test_change_after_ignored_watch_is_in_force_in_time(self):
+        """Regression test for issue 28.
+
+        A watch without a response was noticed after more than ten seconds.
+        """
+        self.ignore_next_watches()
+        self.fleet.set_desired_state(7, {**ROUTES, "added": "primary"})
+
+        def is_served():
+            caller = Caller(self.proxies[0], "added")
+            caller.close()
+            return caller.startup_response.startswith("READY")
+        wait_until(is_served, DEFAULT_MAX_CHANGE_S)
+
+    def test_leaving_instance_after_ignored_watch_gets_no_work_in_time(self):
+        """Regression test for issue 28: the same for the directory."""
+        caller = self.caller("aged")
+        leaving = self.fleet.instances["i-2"]
+        self.ignore_next_watches()
+        leaving.draining = True
+        self.fleet.run(leaving.register())
+        time.sleep(MAX_DRAIN_S)
+        leaving.executions.clear()
+        for _ in range(30):
+            caller.read("x")
+        self.assertEqual(leaving.executions, [])
 
 
 class ChangeTest(FleetCase):
--- a/Tests/Sessions/clSessionSettingsTest.cxx
+++ b/Tests/Sessions/clSessionSettingsTest.cxx
@@ -52,6 +52,20 @@
   CHECK(SettingsOf("bounds:\n").mStoreSlowRetryDelay == milliseconds(600));
 }
 
+TEST_CASE_FIXTURE(session_settings_fixture,
+                  "session_settings_desired_watch_ends_within_change_bound")
+{
+  for (const char* bound : { "1500ms", "3s", "5s", "60s" }) {
+    const auto text = "bounds: {change_in_force: " + std::string(bound) + "}\n";
+    const session_settings settings = SettingsOf(text);
+    // A watch without a response is followed by a delay and a listing.
+    CHECK(settings.mDesiredWatchTimeout + settings.mStoreRetryDelay +
+            settings.mStoreTimeout <
+          Read(text).mBounds.mMaxChangePropagation);
+    CHECK(settings.mDesiredWatchTimeout <= settings.mWatchTimeout);
+  }
+}
+
 TEST_CASE_FIXTURE(session_settings_fixture,
                   "session_settings_with_invalid_bounds_warn_and_use_defaults")
 {
