--- a/Source/Ports/clCoordinationStore.h
+++ b/Source/Ports/clCoordinationStore.h
@@ -14,6 +14,12 @@
 /// Number of a change in the store; increases with each change.
 using store_revision = std::uint64_t;
 
+/// Number of the store's history.  It increases when the store returns from an
+/// older copy of its data: changes, leases and revisions since the copy are
+/// gone then, and their numbers are assigned again.  0 if the store does not
+/// tell.
+using store_generation = std::uint64_t;
+
 /// Identifier of a lease; 0 means none.
 using store_lease_id = std::uint64_t;
 
@@ -93,6 +99,9 @@
 public:
   virtual ~coordination_store() = default;
 
+  /// Generation that the newest response showed.
+  virtual store_generation Generation() const = 0;
+
   /// Lists the keys under a prefix; the read is linearizable.
   virtual result<store_listing> List(const std::string& aPrefix,
                                      milliseconds aTimeout) = 0;
--- a/Source/Sessions/clClusterStateMonitor.cxx
+++ b/Source/Sessions/clClusterStateMonitor.cxx
@@ -132,6 +132,7 @@
   if (!aSucceeded) {
     mContext.mMetrics.mStoreFailures.Increment();
   }
+  RecordGeneration();
   if (aSucceeded == mStoreReached) {
     return;
   }
@@ -153,6 +154,23 @@
   }
 }
 
+void
+cluster_state_monitor::RecordGeneration()
+{
+  const store_generation generation = mContext.mPorts.mStore.Generation();
+  if (generation == mGeneration) {
+    return;
+  }
+  Log(log_level::Info,
+      "store",
+      "Generation of the store changed; above the first one, it returned from "
+      "an older copy. before={} now={}",
+      mGeneration,
+      generation);
+  mGeneration = generation;
+  mContext.mMetrics.mStoreGeneration.Set(static_cast<double>(generation));
+}
+
 void
 cluster_state_monitor::ApplyInternalItem(const store_item& aItem, bool aDeleted)
 {
--- a/Source/Sessions/clClusterStateMonitor.h
+++ b/Source/Sessions/clClusterStateMonitor.h
@@ -73,6 +73,8 @@
   /// unreachable.  Once it is reachable, restarts the watches and lists the
   /// instances.
   void RecordStoreCall(bool aSucceeded, std::string_view aCause);
+  /// Logs and exports a change of the store's generation.
+  void RecordGeneration();
 
   session_context& mContext;
   leadership_lease mLeadershipLease;
@@ -83,6 +85,7 @@
   std::map<std::string, instance_entry> mInstances;
   std::map<std::string, proxy_registration> mProxies;
   bool mStoreReached = false;
+  store_generation mGeneration = 0;
   bool mIsRefreshing = false;
   time_point mRefreshedAt;
   store_lease_id mRegistrationLease = 0;
--- a/Source/Sessions/clSessionMetrics.cxx
+++ b/Source/Sessions/clSessionMetrics.cxx
@@ -62,6 +62,10 @@
       AddCounter(*mRegistry,
                  "catkinloom_log_lines_left_out_total",
                  "Decision log lines suppressed by the rate limit."))
+  , mStoreGeneration(AddGauge(
+      *mRegistry,
+      "catkinloom_store_generation",
+      "Generation of the store; it increases when the store is restored."))
   , mDesiredVersion(AddGauge(*mRegistry,
                              "catkinloom_desired_version",
                              "Version of the desired state in effect."))
--- a/Source/Sessions/clSessionMetrics.h
+++ b/Source/Sessions/clSessionMetrics.h
@@ -40,6 +40,7 @@
   prometheus::Counter& mWatchRestarts;
   prometheus::Counter& mPromotions;
   prometheus::Counter& mLogLinesSuppressed;
+  prometheus::Gauge& mStoreGeneration;
   prometheus::Gauge& mDesiredVersion;
   prometheus::Gauge& mDesiredCheckAge;
   prometheus::Gauge& mSessions;
