store: a restored store is listed again instead of watched further

After the store returned from an older copy, a change that the operator had confirmed was not in force until the next listing, up to a minute later.

Cause: the watch went on from a revision of the former history. As soon as the new history has passed that revision there is no 410, and the changes below it are never sent.

Change: results carry the generation they belong to. A watch ends, and its prefix is listed again, when the generation is not that of its revision; a late response of an earlier generation fails its call; pages of two generations are no listing; the first response of a new generation starts all three listings.

Ruled out: an older version coming back, versions only rise (tested).

--- a/Source/Ports/clCoordinationStore.h
+++ b/Source/Ports/clCoordinationStore.h
@@ -11,7 +11,7 @@
 
 namespace catkinloom {
 
-/// Number of a change in the store; increases with each change.
+/// Number of a change in the store; increases with each change of a generation.
 using store_revision = std::uint64_t;
 
 /// Number of the store's history.  It increases when the store returns from an
@@ -39,6 +39,8 @@
 {
   std::vector<store_item> mItems;
   store_revision mRevision = 0;
+  /// Generation that all items and revisions belong to.
+  store_generation mGeneration = 0;
   /// Size of the response.
   std::size_t mBytes = 0;
 };
@@ -56,6 +58,9 @@
   std::vector<store_event> mEvents;
   /// Revision after which the next watch continues.
   store_revision mRevision = 0;
+  /// Generation that all events and revisions belong to.  If it is not that of
+  /// the watch's revision, changes may be missing.
+  store_generation mGeneration = 0;
   /// The keys must be listed again: the store has dropped part of its history,
   /// or the response with all changes exceeds the given size.
   bool mNeedsListing = false;
@@ -99,7 +104,8 @@
 public:
   virtual ~coordination_store() = default;
 
-  /// Generation that the newest response showed.
+  /// Generation that the newest response showed.  A response of an earlier one
+  /// that arrives later fails its call.
   virtual store_generation Generation() const = 0;
 
   /// Lists the keys under a prefix; the read is linearizable.
--- a/Source/Sessions/clClusterStateMonitor.cxx
+++ b/Source/Sessions/clClusterStateMonitor.cxx
@@ -163,12 +163,18 @@
   }
   Log(log_level::Info,
       "store",
-      "Generation of the store changed; above the first one, it returned from "
-      "an older copy. before={} now={}",
+      "Generation of the store changed; after a restore all keys are listed "
+      "again. before={} now={}",
       mGeneration,
       generation);
+  const bool isRestored = mGeneration != 0;
   mGeneration = generation;
   mContext.mMetrics.mStoreGeneration.Set(static_cast<double>(generation));
+  if (isRestored) {
+    mDesiredStateWatcher.Relist();
+    mInternalWatcher.Relist();
+    mDirectory.Relist();
+  }
 }
 
 void
--- a/Source/Sessions/clClusterStateMonitor.h
+++ b/Source/Sessions/clClusterStateMonitor.h
@@ -73,7 +73,8 @@
   /// unreachable.  Once it is reachable, restarts the watches and lists the
   /// instances.
   void RecordStoreCall(bool aSucceeded, std::string_view aCause);
-  /// Logs and exports a change of the store's generation.
+  /// Detects that the store was restored from an older copy; everything is
+  /// listed again then.
   void RecordGeneration();
 
   session_context& mContext;
--- a/Source/Sessions/clStoreWatcher.cxx
+++ b/Source/Sessions/clStoreWatcher.cxx
@@ -98,7 +98,11 @@
     return false;
   }
   mConsecutiveFailures = 0;
+  if (listing.value().mGeneration != mContext.mPorts.mStore.Generation()) {
+    return false;
+  }
   mMustRelist = false;
+  mGeneration = listing.value().mGeneration;
   mOnList(listing.value());
   mWatchFrom = listing.value().mRevision;
   mListedBytes = listing.value().mBytes;
@@ -111,7 +115,7 @@
 void
 store_watcher::RestartWatch()
 {
-  if (!mWatch || mWatch->mCall.mIsAnswered) {
+  if (!mWatch || mWatch->mIsAbandoned || mWatch->mCall.mIsAnswered) {
     return;
   }
   mContext.mMetrics.mWatchRestarts.Increment();
@@ -152,7 +156,9 @@
 bool
 store_watcher::Watch()
 {
-  if (mMustRelist) {
+  // A revision of an earlier generation says nothing about the present one,
+  // even if the store accepts a watch from it.
+  if (mMustRelist || mGeneration != mContext.mPorts.mStore.Generation()) {
     return false;
   }
   const session_settings& settings = mContext.mSettings;
@@ -177,6 +183,9 @@
     PauseAfterFailure();
     return false;
   }
+  if (changes.value().mGeneration != mGeneration) {
+    return false;
+  }
   if (changes.value().mNeedsListing) {
     Log(log_level::Info,
         "store",
--- a/Source/Sessions/clStoreWatcher.h
+++ b/Source/Sessions/clStoreWatcher.h
@@ -23,8 +23,9 @@
 ///
 /// It lists the keys once and then watches for changes.  It lists them again
 /// when the store has dropped the history that the watch needs, when the
-/// changes since the last response are larger than a listing, and regularly at
-/// a long interval.  During a store outage it reports no changes.
+/// changes since the last response are larger than a listing, when the store
+/// was restored from an older copy, and regularly at a long interval.  During a
+/// store outage it reports no changes.
 class store_watcher
 {
 public:
@@ -102,6 +103,8 @@
   store_call_handler mOnStoreCall;
   std::shared_ptr<pending_watch> mWatch;
   store_revision mWatchFrom = 0;
+  /// Generation of mWatchFrom.
+  store_generation mGeneration = 0;
   /// Size of the last listing.
   std::size_t mListedBytes = 0;
   time_point mListedAt;
--- a/StandIns/fleet_stand_in.py
+++ b/StandIns/fleet_stand_in.py
@@ -28,6 +28,8 @@
         self.revision = 1
         self.events = []
         self.leases = {}
+        #: Number of the store's history, sent with every response.
+        self.era = 1
         self.changed = asyncio.Condition()
         #: "up", "busy" (responds 503), "silent" (closes a connection after 5 s
         #: without a response) or "mute" (does so after 60 s).
@@ -37,6 +39,19 @@
         #: Watches that arrive get no response, and their connections stay open.
         self.ignores_watches = False
 
+    def copy(self):
+        """Returns a copy of the data for restore()."""
+        return dict(self.items), self.revision, list(self.events), \
+            dict(self.leases)
+
+    async def restore(self, copy):
+        """Returns to an older copy of the data, in a new era."""
+        items, self.revision, events, leases = copy
+        self.items, self.events = dict(items), list(events)
+        self.leases = dict(leases)
+        self.era += 1
+        await self.notify_watchers()
+
     async def write(self, key, value, lease=0):
         self.revision += 1
         created = self.items[key]["created"] if key in self.items else None
@@ -88,6 +103,8 @@
 
     async def watch(self, query):
         after = int(query["after"])
+        if after > self.revision:
+            return 410, {}
 
         def matching_events():
             return [e for e in self.events if e["revision"] > after
@@ -459,6 +476,7 @@
                 return False
         raw = json.dumps(answer).encode()
         writer.write((f"HTTP/1.1 {status} X\r\nContent-Type: application/json"
+                      f"\r\nStore-Era: {self.store.era}"
                       f"\r\nContent-Length: {len(raw)}\r\n\r\n").encode()
                      + raw)
         await writer.drain()
--- /dev/null
+++ b/Tests/Processes/test_restored_store.py
@@ -0,0 +1,66 @@
+"""The store returns from an older copy of its data."""
+
+import time
+import unittest
+
+from fleet_case import Caller, FleetCase, ROUTES, wait_until
+
+#: Seconds from the confirmation of a change until it must be in force, of a
+#: proxy without a setting for it.
+MAX_CHANGE_S = 3
+#: Number of writes by write_entries().
+WRITES = 20
+#: Seconds after a change until each proxy waits for the next one.
+WATCH_DELAY_S = 0.3
+
+
+class RestoredStoreTest(FleetCase):
+    def is_served(self, database, proxy=0):
+        caller = Caller(self.proxies[proxy], database)
+        caller.close()
+        return caller.startup_response.startswith("READY")
+
+    def write_entries(self):
+        for _ in range(WRITES):
+            self.fleet.run(self.fleet.instances["i-3"].register())
+
+    def restore_store(self, copy):
+        self.fleet.run(self.fleet.store.restore(copy))
+
+    def test_change_after_restore_is_in_force_in_time(self):
+        """Regression test for issue 28.
+
+        A watch went on from a revision of the former history, so that a change
+        with a lower one was not seen until the next listing, a minute later.
+        """
+        copy = self.fleet.store.copy()
+        self.write_entries()
+        self.fleet.set_desired_state(5, {**ROUTES, "first": "primary"})
+        for proxy in range(len(self.proxies)):
+            wait_until(lambda p=proxy: self.is_served("first", p))
+        time.sleep(WATCH_DELAY_S)
+        self.restore_store(copy)
+        self.fleet.set_desired_state(5, {**ROUTES, "first": "primary"})
+        self.fleet.set_desired_state(7, {**ROUTES, "second": "primary"})
+        # The revisions pass those from before the restore, so that the store
+        # accepts a watch from one of them.
+        self.write_entries()
+        self.write_entries()
+        for proxy in range(len(self.proxies)):
+            wait_until(lambda p=proxy: self.is_served("second", p),
+                       MAX_CHANGE_S)
+
+    def test_older_state_after_restore_does_not_replace_newer_one(self):
+        """The restored copy holds an older version than the one in force."""
+        copy = self.fleet.store.copy()
+        self.fleet.set_desired_state(5, {**ROUTES, "first": "primary"})
+        wait_until(lambda: self.is_served("first"))
+        self.restore_store(copy)
+        self.write_entries()
+        wait_until(lambda: self.proxies[0].metric_value(
+            "catkinloom_store_generation") == 2)
+        self.assertTrue(self.is_served("first"))
+
+
+if __name__ == "__main__":
+    unittest.main()
