failover: a record that a restore brought back or undid is no evidence

Cause: a record's revision was taken for a lasting order.

Change: records are ordered by generation, then revision. Each names the generation in which it was written; read in a later one it is no evidence and keeps no newer knowledge from this proxy, only its revision is taken. A claim or promotion of an attempt that began in an earlier generation is not written, and a write that was executed in a later one does not count. Until the record has been written again, the group's own answers are the evidence; a proxy writes it after one to three seconds with the leader that the group proves, and names what it supersedes, so that a proxy which knew more writes again. Fencing tokens grow with the generation; in the first one they are what they were.

Both process tests failed before (no leader within 12 s).

--- a/Source/Decisions/clLeadership.cxx
+++ b/Source/Decisions/clLeadership.cxx
@@ -9,6 +9,16 @@
 /// An observation closer than this to the previous one is discarded.
 constexpr milliseconds kObservationSpacing{ 50 };
 
+/// Version under which the contents of a record were written.
+record_version
+ContentsVersion(const failover_record& aRecord)
+{
+  if (aRecord.IsCurrent() || aRecord.mVersion.mRevision == 0) {
+    return aRecord.IsCurrent() ? aRecord.mVersion : record_version{};
+  }
+  return { aRecord.mWrittenIn, aRecord.mVersion.mRevision };
+}
+
 } // namespace
 
 std::optional<std::size_t>
@@ -40,17 +50,27 @@
 void
 group_leadership::Adopt(const failover_record& aRecord)
 {
-  if (aRecord.mRevision < mRecord.mRevision) {
+  if (aRecord.mVersion < mRecord.mVersion) {
+    return;
+  }
+  const bool isNewer = aRecord.mVersion > mRecord.mVersion;
+  if (aRecord.mVersion.mGeneration != mRecord.mVersion.mGeneration) {
+    // Leases of an earlier generation are gone.
+    mLeasedLeader.clear();
+  }
+  if (KnowsNewerContents(aRecord)) {
+    mRecord.mVersion = aRecord.mVersion;
     return;
   }
-  const bool isNewer = aRecord.mRevision > mRecord.mRevision;
   mRecord = aRecord;
-  if (isNewer && aRecord.mCommitsStopped) {
+  mContents = ContentsVersion(aRecord);
+  if (isNewer && aRecord.mCommitsStopped && aRecord.IsCurrent()) {
     // The record was written after the previous one was last read, so that its
     // floor covers every commit acknowledged before that read.
     OnCommitsStopped(aRecord.mFloor, mRecordRequestedAt);
   }
-  const bool isComplete = aRecord.mPhase == failover_phase::Complete;
+  const bool isComplete =
+    aRecord.mPhase == failover_phase::Complete && aRecord.IsCurrent();
   if (!aRecord.mLeader.empty() && aRecord.mLeader != mLeader &&
       (isComplete || mLeader.empty())) {
     mLeader = aRecord.mLeader;
@@ -59,13 +79,38 @@
   }
 }
 
+bool
+group_leadership::KnowsNewerContents(const failover_record& aRecord) const
+{
+  if (!aRecord.IsCurrent()) {
+    return ContentsVersion(aRecord) < mContents;
+  }
+  return mContents.mGeneration < aRecord.mVersion.mGeneration &&
+         aRecord.mVersion.mGeneration > kFirstGeneration &&
+         aRecord.mSupersedes < mContents;
+}
+
+failover_record
+group_leadership::NextRecord() const
+{
+  failover_record next = mRecord;
+  if (!mRecord.IsCurrent()) {
+    next.mSupersedes = mContents;
+  }
+  next.mWrittenIn = mRecord.mVersion.mGeneration;
+  return next;
+}
+
 void
 group_leadership::OnRecord(const failover_record& aRecord, time_point aSentAt)
 {
-  if (aRecord.mRevision < mRecord.mRevision) {
+  if (aRecord.mVersion < mRecord.mVersion) {
     return;
   }
   Adopt(aRecord);
+  if (!mRecord.IsCurrent()) {
+    return;
+  }
   mRecordRequestedAt = std::max(mRecordRequestedAt, aSentAt);
   const bool isSame = aRecord.mLeader.empty() || aRecord.mLeader == mLeader;
   if (aRecord.mPhase == failover_phase::Complete && !mLeader.empty() &&
@@ -113,7 +158,8 @@
 void
 group_leadership::OnReadUnderLease()
 {
-  const bool isComplete = mRecord.mPhase == failover_phase::Complete;
+  const bool isComplete =
+    mRecord.mPhase == failover_phase::Complete && mRecord.IsCurrent();
   const bool isSame = mRecord.mLeader.empty() || mRecord.mLeader == mLeader;
   mLeasedLeader = isComplete && isSame ? mLeader : std::string();
 }
--- a/Source/Decisions/clLeadership.h
+++ b/Source/Decisions/clLeadership.h
@@ -2,6 +2,7 @@
 
 #include "clClock.h"
 #include "clLogPosition.h"
+#include "clRecordVersion.h"
 
 #include <cstdint>
 #include <deque>
@@ -24,8 +25,13 @@
 /// written to it before it is commanded.
 struct failover_record
 {
-  /// The store's revision of this record; 0 when none has been written.
-  std::uint64_t mRevision = 0;
+  /// The store's version of this record; revision 0 when there is none.
+  record_version mVersion{};
+  /// Generation of the store in which the contents were written.
+  std::uint64_t mWrittenIn = 0;
+  /// Contents of an earlier generation that the writer knew; newer ones may
+  /// have been lost in a restore of the store.
+  record_version mSupersedes{};
   failover_phase mPhase = failover_phase::Complete;
   /// Leader of the group; empty when the record has never named one.
   std::string mLeader;
@@ -40,6 +46,14 @@
   std::vector<std::string> mPossibleLeaders;
 
   bool operator==(const failover_record&) const = default;
+
+  /// False if a restore of the store may have undone a newer record, so that
+  /// this one is no evidence.
+  bool IsCurrent() const
+  {
+    return mVersion.mGeneration <= kFirstGeneration ||
+           mWrittenIn == mVersion.mGeneration;
+  }
 };
 
 /// Leadership and replication state that one instance reports.
@@ -135,8 +149,16 @@
 
   /// Leader according to the current view; empty when unknown.
   const std::string& Leader() const { return mLeader; }
+  /// The newest known contents of the record, with the version that the store
+  /// has now.
   const failover_record& Record() const { return mRecord; }
 
+  /// The record with these contents as this proxy would write it now.
+  failover_record NextRecord() const;
+
+  /// True if this proxy knows contents of the record.
+  bool KnowsRecord() const { return mContents != record_version{}; }
+
   /// True when the leader is proven to be the only one at aMoment.
   bool IsProvenAt(time_point aMoment) const;
 
@@ -185,12 +207,18 @@
   };
 
   void Adopt(const failover_record& aRecord);
+  /// True if the known contents are newer than those of aRecord, which a
+  /// restore of the store brought back or which were written without knowing
+  /// them.
+  bool KnowsNewerContents(const failover_record& aRecord) const;
   void ExtendEvidence(time_point aSentAt);
   void AddObservation(log_position aPosition, time_point aSentAt);
   void ResolveLosses(log_position aPosition, time_point aSentAt);
 
   leadership_settings mSettings;
   failover_record mRecord;
+  /// Version under which the contents of mRecord were written.
+  record_version mContents{};
   std::string mLeader;
   /// The leader was proven by the group's members, not only reported by the
   /// directory.
--- a/Source/Ports/clCoordinationStore.h
+++ b/Source/Ports/clCoordinationStore.h
@@ -31,6 +31,8 @@
   /// Revision of the key's last change; 0 if the key does not exist.
   store_revision mRevision = 0;
   store_lease_id mLease = 0;
+  /// Generation that mRevision belongs to.
+  store_generation mGeneration = 0;
 };
 
 /// All keys under a prefix as of mRevision.  It is read in pages, which are not
@@ -92,6 +94,8 @@
   store_write_outcome mOutcome = store_write_outcome::Conflict;
   /// Revision of the change; only valid if the outcome is Written.
   store_revision mRevision = 0;
+  /// Generation in which the write was executed or refused.
+  store_generation mGeneration = 0;
 };
 
 /// The key-value store that holds the state shared by all proxies.  Every call
--- a/Source/Sessions/clClusterStateMonitor.cxx
+++ b/Source/Sessions/clClusterStateMonitor.cxx
@@ -25,6 +25,15 @@
   return std::string_view(aKey).substr(0, aPrefix.size()) == aPrefix;
 }
 
+/// The record of a service that a listing has none of.
+failover_record
+AbsentRecord(const store_listing& aListing)
+{
+  failover_record record;
+  record.mVersion = { aListing.mGeneration, 0 };
+  return record;
+}
+
 } // namespace
 
 cluster_state_monitor::cluster_state_monitor(session_context& aContext)
@@ -87,6 +96,10 @@
         for (const store_item& item : aListing.mItems) {
           ApplyInternalItem(item, false);
         }
+        for (const std::string& service : ServicesWithoutRecord(aListing)) {
+          mContext.Group(service).Leadership().OnRecordChange(
+            AbsentRecord(aListing));
+        }
         UpdateProxyCount();
       },
       [this](const std::vector<store_event>& aEvents) {
@@ -299,17 +312,20 @@
         record.error().mDetail);
     return;
   }
-  record.value().mRevision = aItem.mRevision;
+  record.value().mVersion = { aItem.mGeneration, aItem.mRevision };
   upstream_group& group = mContext.Group(aService);
-  const store_revision before = group.Leadership().Record().mRevision;
+  const record_version before = group.Leadership().Record().mVersion;
   group.Leadership().OnRecordChange(record.value());
-  if (aItem.mRevision > before) {
+  if (record.value().mVersion > before) {
     Log(log_level::Info,
         "failover",
-        "Record read; the leader that it names is adopted. service={} "
-        "revision={} leader={} contested={} holder={}",
+        "Record read; the leader that it names is adopted, unless a restore of "
+        "the store brought it back. service={} revision={} generation={} "
+        "written_in={} leader={} contested={} holder={}",
         aService,
         aItem.mRevision,
+        aItem.mGeneration,
+        record.value().mWrittenIn,
         record.value().mLeader,
         record.value().mPhase == failover_phase::InProgress,
         record.value().mHolder);
@@ -412,21 +428,21 @@
   if (!listing) {
     return false;
   }
-  std::set<std::string> recorded;
   for (const store_item& item : listing.value().mItems) {
     const std::string service =
       RemovePrefix(item.mKey, store_keys::kFailoverPrefix);
-    recorded.insert(service);
     ApplyFailoverRecord(service, item);
     group_leadership& leadership = mContext.Group(service).Leadership();
-    if (leadership.Record().mRevision == item.mRevision) {
+    const record_version version{ item.mGeneration, item.mRevision };
+    if (leadership.Record().mVersion == version) {
       leadership.OnRecord(failover_record(leadership.Record()), sentAt);
     }
   }
+  for (const std::string& service : ServicesWithoutRecord(listing.value())) {
+    mContext.Group(service).Leadership().OnRecord(AbsentRecord(listing.value()),
+                                                  sentAt);
+  }
   for (const auto& [service, group] : mContext.mGroups) {
-    if (recorded.count(service) == 0) {
-      group->Leadership().OnRecord({}, sentAt);
-    }
     if (aUnderLease) {
       group->Leadership().OnReadUnderLease();
     }
@@ -434,6 +450,25 @@
   return true;
 }
 
+std::vector<std::string>
+cluster_state_monitor::ServicesWithoutRecord(
+  const store_listing& aListing) const
+{
+  std::set<std::string> recorded;
+  for (const store_item& item : aListing.mItems) {
+    if (HasPrefix(item.mKey, store_keys::kFailoverPrefix)) {
+      recorded.insert(RemovePrefix(item.mKey, store_keys::kFailoverPrefix));
+    }
+  }
+  std::vector<std::string> missing;
+  for (const auto& [service, group] : mContext.mGroups) {
+    if (recorded.count(service) == 0) {
+      missing.push_back(service);
+    }
+  }
+  return missing;
+}
+
 bool
 cluster_state_monitor::IsRegistered() const
 {
--- a/Source/Sessions/clClusterStateMonitor.h
+++ b/Source/Sessions/clClusterStateMonitor.h
@@ -55,6 +55,9 @@
   void ApplyInternalItem(const store_item& aItem, bool aDeleted);
   void ApplyFailoverRecord(const std::string& aService,
                            const store_item& aItem);
+  /// Names of the services that the listing has no failover record of.
+  std::vector<std::string> ServicesWithoutRecord(
+    const store_listing& aListing) const;
   /// Drops proxies whose retention has ended and updates the number of proxies
   /// that share the connections.
   void UpdateProxyCount();
--- a/Source/Sessions/clFailoverAttempt.cxx
+++ b/Source/Sessions/clFailoverAttempt.cxx
@@ -106,7 +106,7 @@
       mGroup.Service(),
       mPrimary,
       FailoverReasonName(mReason),
-      mRecord.mRevision,
+      mRecord.mVersion.mRevision,
       mRecordFloor.mTerm,
       mRecordFloor.mIndex,
       mGroup.Leadership().LossFloor().mTerm,
@@ -144,7 +144,7 @@
 failover_attempt::MayContinue() const
 {
   const failover_record& newest = mGroup.Leadership().Record();
-  return Now() < mDeadline && newest.mRevision <= mRecord.mRevision;
+  return Now() < mDeadline && newest.mVersion <= mRecord.mVersion;
 }
 
 void
@@ -226,27 +226,31 @@
 bool
 failover_attempt::WriteRecord()
 {
+  if (mContext.mPorts.mStore.Generation() != mRecord.mVersion.mGeneration) {
+    LogRecordNotWritten("the store was restored");
+    return false;
+  }
   const std::string key =
     std::string(store_keys::kFailoverPrefix) + mGroup.Service();
   const auto written =
     mContext.mPorts.mStore.Put(key,
                                EncodeFailoverRecord(mRecord),
-                               mRecord.mRevision,
+                               mRecord.mVersion.mRevision,
                                0,
                                mContext.mSettings.mStoreTimeout);
-  if (written && written.value().mOutcome == store_write_outcome::Written) {
-    mRecord.mRevision = written.value().mRevision;
+  // In another generation, the expected revision belongs to another change.
+  const bool isRestored =
+    written && written.value().mGeneration != mRecord.mVersion.mGeneration;
+  if (written && !isRestored &&
+      written.value().mOutcome == store_write_outcome::Written) {
+    mRecord.mVersion.mRevision = written.value().mRevision;
     mGroup.Leadership().OnRecordChange(mRecord);
     return true;
   }
-  Log(log_level::Info,
-      "failover",
-      "Record not written; failover attempt ends, or retries if the promotion "
-      "was accepted. service={} expected={} cause={}",
-      mGroup.Service(),
-      mRecord.mRevision,
-      written ? "changed by another" : written.error().mDetail);
-  if (!written) {
+  LogRecordNotWritten(!written     ? written.error().mDetail
+                      : isRestored ? "the store was restored"
+                                   : "changed by another");
+  if (!written || isRestored) {
     // The write may have succeeded despite the error, so read the record again
     // before the next attempt.
     mContext.mRefreshLeadership();
@@ -254,6 +258,18 @@
   return false;
 }
 
+void
+failover_attempt::LogRecordNotWritten(std::string_view aCause) const
+{
+  Log(log_level::Info,
+      "failover",
+      "Record not written; failover attempt ends, or retries if the promotion "
+      "was accepted. service={} expected={} cause={}",
+      mGroup.Service(),
+      mRecord.mVersion.mRevision,
+      aCause);
+}
+
 bool
 failover_attempt::StopCommits()
 {
@@ -616,11 +632,11 @@
         "Fencing token too old after a slow record write; attempt retries. "
         "service={} token={}",
         mGroup.Service(),
-        mRecord.mRevision);
+        FencingToken(mRecord.mVersion));
     return false;
   }
   const promotion_request request{
-    mGroup.Service(), aChosen, mContext.Name(), mRecord.mRevision
+    mGroup.Service(), aChosen, mContext.Name(), FencingToken(mRecord.mVersion)
   };
   mContext.mMetrics.mPromotions.Increment();
   const promotion_outcome end =
@@ -681,7 +697,7 @@
     }
     mContext.mLoop.Sleep(mContext.mSettings.mStoreRetryDelay);
     const failover_record& seen = mGroup.Leadership().Record();
-    if (seen.mRevision > mRecord.mRevision) {
+    if (seen.mVersion > mRecord.mVersion) {
       return seen.mLeader == aLeader;
     }
   }
--- a/Source/Sessions/clFailoverAttempt.h
+++ b/Source/Sessions/clFailoverAttempt.h
@@ -65,6 +65,7 @@
   /// Writes the record by compare-and-set; false if another proxy has changed
   /// it or the store call failed.
   bool WriteRecord();
+  void LogRecordNotWritten(std::string_view aCause) const;
   /// Stops commits, revokes all leadership leases and chooses the next leader.
   /// Empty if no instance can lead yet without losing commits.
   std::optional<std::string> PrepareNextLeader();
--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -1,8 +1,10 @@
 #include "clFailoverRunner.h"
 
 #include "clLog.h"
+#include "clStoreKeys.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace catkinloom {
 
@@ -11,6 +13,19 @@
 /// Time without checks of a group after a false alarm or an attempt.
 constexpr milliseconds kCheckSuspension{ 200 };
 
+/// Time after a restore of the store in which every proxy notices it, so that
+/// an attempt that is under way ends.
+constexpr milliseconds kRestoreDelay{ 1000 };
+
+/// Maximum additional delay that differs between proxies.
+constexpr milliseconds kMaxRewriteStagger{ 800 };
+
+/// Additional delay of a proxy that knows no former record.
+constexpr milliseconds kNoRecordDelay{ 1000 };
+
+/// Time without checks of a group whose leader could not be proved.
+constexpr milliseconds kRewriteRetryDelay{ 500 };
+
 /// A check later than this shows that this process itself was suspended, so
 /// that its view of which instances are unresponsive is not valid.
 constexpr milliseconds kMaxCheckDelay{ 150 };
@@ -65,7 +80,76 @@
   if (const auto reason = ReasonFor(aGroup, checkState, aNow)) {
     checkState.mIsAttemptRunning = true;
     StartAttempt(aGroup, *reason);
+    return;
+  }
+  if (IsRewriteDue(aGroup, checkState, aNow)) {
+    checkState.mIsAttemptRunning = true;
+    mContext.mLoop.Spawn([this, &aGroup, &checkState] {
+      RewriteRecord(aGroup);
+      checkState.mIsAttemptRunning = false;
+      checkState.mChecksSuspendedUntil = mContext.Now() + kRewriteRetryDelay;
+    });
+  }
+}
+
+bool
+failover_runner::IsRewriteDue(upstream_group& aGroup,
+                              const group_check_state& aCheckState,
+                              time_point aNow) const
+{
+  const group_leadership& leadership = aGroup.Leadership();
+  const failover_record& record = leadership.Record();
+  if (record.IsCurrent() || record.mPhase != failover_phase::Complete) {
+    return false;
+  }
+  const auto stagger = milliseconds(
+    std::hash<std::string>()(mContext.Name() + "/" + aGroup.Service()) %
+    static_cast<std::size_t>(kMaxRewriteStagger.count()));
+  const milliseconds delay =
+    kRestoreDelay + stagger +
+    (leadership.KnowsRecord() ? milliseconds(0) : kNoRecordDelay);
+  return aNow - aCheckState.mRecordSeenSince >= delay;
+}
+
+void
+failover_runner::RewriteRecord(upstream_group& aGroup)
+{
+  const group_leadership& leadership = aGroup.Leadership();
+  const record_version version = leadership.Record().mVersion;
+  const time_point sentAt = mContext.Now();
+  aGroup.PollGroup();
+  if (!leadership.IsProvenAt(sentAt) ||
+      leadership.Record().mVersion != version) {
+    return;
+  }
+  failover_record next = leadership.NextRecord();
+  next.mPhase = failover_phase::Complete;
+  next.mCommitsStopped = false;
+  next.mLeader = leadership.Leader();
+  next.mHolder = mContext.Name();
+  const auto written = mContext.mPorts.mStore.Put(
+    std::string(store_keys::kFailoverPrefix) + aGroup.Service(),
+    EncodeFailoverRecord(next),
+    version.mRevision,
+    0,
+    mContext.mSettings.mStoreTimeout);
+  const bool isDone = written &&
+                      written.value().mGeneration == version.mGeneration &&
+                      written.value().mOutcome == store_write_outcome::Written;
+  Log(log_level::Info,
+      "failover",
+      "Record written again after a restore of the store; it is evidence from "
+      "now on. service={} leader={} generation={} done={}",
+      aGroup.Service(),
+      next.mLeader,
+      version.mGeneration,
+      isDone);
+  if (isDone) {
+    next.mVersion.mRevision = written.value().mRevision;
+    aGroup.Leadership().OnRecordChange(next);
+    return;
   }
+  mContext.mRefreshLeadership();
 }
 
 std::optional<failover_reason>
@@ -75,13 +159,14 @@
 {
   const session_settings& settings = mContext.mSettings;
   const failover_record& record = aGroup.Leadership().Record();
-  if (aCheckState.mSeenRecordRevision != record.mRevision) {
-    aCheckState.mSeenRecordRevision = record.mRevision;
+  if (aCheckState.mSeenRecordVersion != record.mVersion) {
+    aCheckState.mSeenRecordVersion = record.mVersion;
     aCheckState.mRecordSeenSince = aNow;
   }
   // A promotion command of the record's holder may still be under way, so no
   // other proxy may act until the holder's lease has expired.
-  const bool isOwn = record.mRevision == 0 || record.mHolder == mContext.Name();
+  const bool isOwn =
+    record.mHolder.empty() || record.mHolder == mContext.Name();
   const bool noPromotionSent = record.mPhase == failover_phase::InProgress &&
                                record.mPossibleLeaders.empty();
   const milliseconds holderLease =
@@ -117,12 +202,12 @@
 {
   // The attempt replaces the record as of now: another proxy may start an
   // attempt while this one confirms the failure.
-  const failover_record record = aGroup.Leadership().Record();
+  const failover_record record = aGroup.Leadership().NextRecord();
   const time_point since = mCheckStates[aGroup.Service()].mRecordSeenSince;
   mContext.mLoop.Spawn([this, &aGroup, aReason, record, since] {
     const bool confirmed = ConfirmReason(aGroup, aReason);
     const bool unchanged =
-      aGroup.Leadership().Record().mRevision == record.mRevision;
+      aGroup.Leadership().Record().mVersion == record.mVersion;
     if (confirmed && unchanged) {
       failover_attempt attempt(mContext, aGroup, aReason, record, since);
       const bool done = attempt.Run();
--- a/Source/Sessions/clFailoverRunner.h
+++ b/Source/Sessions/clFailoverRunner.h
@@ -26,8 +26,8 @@
   {
     bool mIsAttemptRunning = false;
     time_point mChecksSuspendedUntil;
-    /// Newest revision of the record, and when it was first seen.
-    store_revision mSeenRecordRevision = 0;
+    /// Newest version of the record, and when it was first seen.
+    record_version mSeenRecordVersion{};
     time_point mRecordSeenSince;
   };
 
@@ -41,6 +41,14 @@
                                            group_check_state& aCheckState,
                                            time_point aNow) const;
   void StartAttempt(upstream_group& aGroup, failover_reason aReason);
+  /// True if the record, which a restore of the store made useless as evidence,
+  /// may be written again by this proxy now.  The proxies do so at different
+  /// times, those that know more of the former record first.
+  bool IsRewriteDue(upstream_group& aGroup,
+                    const group_check_state& aCheckState,
+                    time_point aNow) const;
+  /// Writes the record again, with the leader that the group itself proves.
+  void RewriteRecord(upstream_group& aGroup);
   /// Checks with direct requests to the instances that the leader is
   /// unresponsive or its commits are stuck; true for any other reason.
   bool ConfirmReason(upstream_group& aGroup, failover_reason aReason);
--- a/Source/Sessions/clStoreKeys.cxx
+++ b/Source/Sessions/clStoreKeys.cxx
@@ -25,10 +25,25 @@
     { "floor_index", aRecord.mFloor.mIndex },
     { "holder", aRecord.mHolder },
     { "may_lead", std::move(possibleLeaders) },
+    { "written_in", aRecord.mWrittenIn },
+    { "supersedes_generation", aRecord.mSupersedes.mGeneration },
+    { "supersedes_revision", aRecord.mSupersedes.mRevision },
   };
   return json::serialize(body);
 }
 
+namespace {
+
+/// Returns 0 for a field that an older build did not write.
+std::uint64_t
+NumberOrZero(const json::object& aBody, json::string_view aName)
+{
+  const json::value* found = aBody.if_contains(aName);
+  return found == nullptr ? 0 : found->to_number<std::uint64_t>();
+}
+
+} // namespace
+
 result<failover_record>
 DecodeFailoverRecord(std::string_view aValue)
 {
@@ -43,6 +58,9 @@
     record.mFloor.mTerm = body.at("floor_term").to_number<std::uint64_t>();
     record.mFloor.mIndex = body.at("floor_index").to_number<std::uint64_t>();
     record.mHolder = json::value_to<std::string>(body.at("holder"));
+    record.mWrittenIn = NumberOrZero(body, "written_in");
+    record.mSupersedes = { NumberOrZero(body, "supersedes_generation"),
+                           NumberOrZero(body, "supersedes_revision") };
     for (const json::value& instance : body.at("may_lead").as_array()) {
       record.mPossibleLeaders.push_back(json::value_to<std::string>(instance));
     }
--- a/Source/Sessions/clStoreKeys.h
+++ b/Source/Sessions/clStoreKeys.h
@@ -22,7 +22,7 @@
 constexpr std::string_view kLeadershipLeasePrefix = "catkinloom-permits/";
 }
 
-/// Encodes a failover record as JSON, without its revision: the store assigns
+/// Encodes a failover record as JSON, without its version: the store assigns
 /// that.
 std::string
 EncodeFailoverRecord(const failover_record& aRecord);
--- a/StandIns/fleet_stand_in.py
+++ b/StandIns/fleet_stand_in.py
@@ -399,6 +399,10 @@
         leaders = [i for i in self.instances.values() if i.is_leader]
         return max(leaders, key=lambda i: i.term) if leaders else None
 
+    def leader_is_up(self):
+        leader = self.leader()
+        return leader is not None and leader.mode == "up"
+
     async def promote(self, headers, body):
         token = int(headers["x-catkinloom-fencing-token"])
         if token < self.fencing_token:
--- a/Tests/Decisions/clLeadershipTest.cxx
+++ b/Tests/Decisions/clLeadershipTest.cxx
@@ -11,7 +11,8 @@
 Complete(std::uint64_t aRevision, std::string aLeader)
 {
   failover_record record;
-  record.mRevision = aRevision;
+  record.mVersion = { kFirstGeneration, aRevision };
+  record.mWrittenIn = kFirstGeneration;
   record.mLeader = std::move(aLeader);
   return record;
 }
@@ -24,6 +25,14 @@
   return record;
 }
 
+/// The same record as it is read after a restore of the store.
+failover_record
+Restored(failover_record aRecord)
+{
+  aRecord.mVersion.mGeneration = kFirstGeneration + 1;
+  return aRecord;
+}
+
 /// The directory reports `a` as primary; evidence is valid for 500 ms.
 struct leadership_fixture
 {
@@ -89,6 +98,74 @@
   CHECK_FALSE(mLeadership.IsProvenAt(At(1600)));
 }
 
+// Regression tests for issue 28: a store that returns from an older copy.
+
+TEST_CASE_FIXTURE(leadership_fixture,
+                  "leadership_record_brought_back_by_restore_is_no_evidence")
+{
+  mLeadership.OnRecord(Complete(9, "b"), At(1000));
+  mLeadership.OnRecord(Restored(Complete(7, "a")), At(2000));
+  CHECK(mLeadership.Leader() == "b");
+  CHECK_FALSE(mLeadership.IsProvenAt(At(2000)));
+  CHECK(mLeadership.Record().mVersion == record_version{ 2, 7 });
+  CHECK(mLeadership.Record().mLeader == "b");
+}
+
+TEST_CASE_FIXTURE(leadership_fixture,
+                  "leadership_record_lost_in_restore_is_no_evidence")
+{
+  mLeadership.OnRecord(InProgress(9, "a"), At(1000));
+  failover_record absent;
+  absent.mVersion = { 2, 0 };
+  mLeadership.OnRecord(absent, At(2000));
+  CHECK_FALSE(mLeadership.IsProvenAt(At(2000)));
+  CHECK(mLeadership.Record().mVersion == record_version{ 2, 0 });
+  CHECK(mLeadership.Record().mPhase == failover_phase::InProgress);
+}
+
+TEST_CASE_FIXTURE(leadership_fixture,
+                  "leadership_record_written_again_after_restore_is_evidence")
+{
+  mLeadership.OnRecord(Complete(9, "b"), At(1000));
+  mLeadership.OnRecord(Restored(Complete(7, "a")), At(2000));
+  failover_record next = mLeadership.NextRecord();
+  CHECK(next.mSupersedes == record_version{ 1, 9 });
+  next.mVersion.mRevision = 8;
+  mLeadership.OnRecord(next, At(3000));
+  CHECK(mLeadership.IsProvenAt(At(3400)));
+}
+
+TEST_CASE_FIXTURE(leadership_fixture,
+                  "leadership_record_written_with_less_knowledge_is_not_taken")
+{
+  mLeadership.OnRecord(InProgress(9, "a"), At(1000));
+  failover_record other = Restored(Complete(7, "b"));
+  other.mWrittenIn = 2;
+  other.mSupersedes = { 1, 7 };
+  mLeadership.OnRecord(other, At(2000));
+  CHECK(mLeadership.Record().mPhase == failover_phase::InProgress);
+  CHECK_FALSE(mLeadership.IsProvenAt(At(2000)));
+  CHECK(mLeadership.NextRecord().mSupersedes == record_version{ 1, 9 });
+}
+
+TEST_CASE_FIXTURE(leadership_fixture,
+                  "lease_of_earlier_generation_is_no_evidence")
+{
+  mLeadership.OnRecord(Complete(9, "a"), At(0));
+  mLeadership.OnReadUnderLease();
+  mLeadership.OnRecordChange(Restored(Complete(7, "a")));
+  CHECK_FALSE(mLeadership.HasLease());
+  mLeadership.OnLeaseRenewed(At(1000));
+  CHECK_FALSE(mLeadership.IsProvenAt(At(1000)));
+}
+
+TEST_CASE("fencing_token_after_restore_is_newer_than_any_before")
+{
+  CHECK(FencingToken({ 1, 24 }) == 24);
+  CHECK(FencingToken({ 2, 1 }) > FencingToken({ 1, 4294967296 }));
+  CHECK(FencingToken({ 3, 1 }) > FencingToken({ 2, 4294967296 }));
+}
+
 TEST_CASE_FIXTURE(leadership_fixture,
                   "leadership_directory_report_after_record_is_ignored")
 {
--- a/Tests/Processes/test_restored_store.py
+++ b/Tests/Processes/test_restored_store.py
@@ -1,5 +1,6 @@
 """The store returns from an older copy of its data."""
 
+import threading
 import time
 import unittest
 
@@ -8,6 +9,10 @@
 #: Seconds from the confirmation of a change until it must be in force, of a
 #: proxy without a setting for it.
 MAX_CHANGE_S = 3
+#: Seconds until a group serves again, the bound of the deployments.
+MAX_RECOVERY_S = 12
+#: Key of the failover record of the group.
+FAILOVER_RECORD = "catkinloom/failover/core"
 #: Number of writes by write_entries().
 WRITES = 20
 #: Seconds after a change until each proxy waits for the next one.
@@ -61,6 +66,60 @@
             "catkinloom_store_generation") == 2)
         self.assertTrue(self.is_served("first"))
 
+    def test_leader_lost_before_restore_is_replaced(self):
+        """Regression test for issue 28.
+
+        The claim to replace the leader was gone, every proxy went on from its
+        revision, and the group had no leader to the end of the day.
+        """
+        copy = self.fleet.store.copy()
+        self.write_entries()
+        self.write_in_background()
+        self.fleet.run(self.fleet.instances["i-1"].crash())
+        wait_until(lambda: FAILOVER_RECORD in self.fleet.store.items,
+                   interval_s=0.002)
+        self.restore_store(copy)
+        self.assertEqual(self.fleet.promotions, [])
+        wait_until(self.fleet.leader_is_up, MAX_RECOVERY_S)
+
+    def test_tokens_after_restore_are_newer_than_before(self):
+        """Revisions are given out again, fencing tokens must not be."""
+        copy = self.fleet.store.copy()
+        self.write_entries()
+        self.write_in_background()
+        self.fleet.run(self.fleet.instances["i-1"].crash())
+        wait_until(self.fleet.leader_is_up)
+        _, token, leader = self.fleet.promotions[-1]
+        self.fleet.run(self.fleet.instances["i-1"].restart())
+        wait_until(lambda: self.is_up_to_date("i-1"))
+        self.restore_store(copy)
+        for instance in self.fleet.instances.values():
+            self.fleet.run(instance.register())
+        self.fleet.run(self.fleet.instances[leader].crash())
+        wait_until(self.fleet.leader_is_up, MAX_RECOVERY_S)
+        self.assertGreater(self.fleet.promotions[-1][1], token)
+
+    def is_up_to_date(self, ident):
+        return self.fleet.instances[ident].log == self.fleet.leader().log
+
+    def write_in_background(self):
+        """Starts writes: a leader is only found to be lost if it has work."""
+        stopping = threading.Event()
+
+        def write():
+            while not stopping.is_set():
+                try:
+                    caller = Caller(self.proxies[1], "current")
+                    caller.write("x", "1")
+                    caller.close()
+                except OSError:
+                    pass
+                stopping.wait(0.02)
+        thread = threading.Thread(target=write)
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(stopping.set)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/Tests/Sessions/clStoreKeysTest.cxx
+++ b/Tests/Sessions/clStoreKeysTest.cxx
@@ -13,6 +13,8 @@
   record.mFloor = { 3, 1207 };
   record.mHolder = "proxy-1";
   record.mPossibleLeaders = { "i-2", "i-3" };
+  record.mWrittenIn = 2;
+  record.mSupersedes = { 1, 24 };
   const auto read = DecodeFailoverRecord(EncodeFailoverRecord(record));
   REQUIRE(read);
   CHECK(read.value() == record);
@@ -23,3 +25,13 @@
   CHECK_FALSE(DecodeFailoverRecord("{}"));
   CHECK_FALSE(DecodeFailoverRecord(""));
 }
+
+TEST_CASE("failover_record_of_older_build_is_of_no_generation")
+{
+  const auto read = DecodeFailoverRecord(
+    R"({"contested":false,"commits_stopped":false,"leader":"i-1",)"
+    R"("floor_term":1,"floor_index":2,"holder":"p","may_lead":[]})");
+  REQUIRE(read);
+  CHECK(read.value().mWrittenIn == 0);
+  CHECK(read.value().mSupersedes == record_version{});
+}
