store: a lease of an earlier generation is not held

After a restore of the store a proxy could renew a lease id that had been assigned again to somebody else, and took the renewal for evidence of leadership: a lease that no promoter revokes, so that current reads could be stale. The registration of a proxy hung on such an id the same way.

Cause: a lease id taken for a lasting name; the same class as the record's revision.

Change: a lease belongs to the generation in which it was granted. In a later one it is not held, a renewal that a restored store answered is none, and nothing is revoked by its id; it is acquired anew.

Open: a promoter revokes the ids that the keys of the restored copy name, which may end a lease of another proxy; that proxy acquires a new one.

--- a/Source/Sessions/clClusterStateMonitor.cxx
+++ b/Source/Sessions/clClusterStateMonitor.cxx
@@ -476,17 +476,26 @@
   return own != mProxies.end() && own->second.mIsRegistered;
 }
 
+bool
+cluster_state_monitor::HasRegistrationLease() const
+{
+  return mRegistrationLease != 0 &&
+         mRegistrationGeneration == mContext.mPorts.mStore.Generation();
+}
+
 void
 cluster_state_monitor::RunRegistration()
 {
   const session_settings& settings = mContext.mSettings;
   while (!mContext.mDraining) {
     bool isLeaseRenewed = false;
-    if (mRegistrationLease != 0) {
+    if (!HasRegistrationLease()) {
+      mRegistrationLease = 0;
+    } else {
       const auto renewed =
         mContext.mPorts.mStore.RenewLease(mRegistrationLease);
       RecordStoreCall(bool(renewed), renewed ? "" : renewed.error().mDetail);
-      isLeaseRenewed = renewed && renewed.value();
+      isLeaseRenewed = renewed && renewed.value() && HasRegistrationLease();
       if (renewed && !renewed.value()) {
         mRegistrationLease = 0;
       }
@@ -512,6 +521,7 @@
       return false;
     }
     mRegistrationLease = lease.value();
+    mRegistrationGeneration = store.Generation();
   }
   const std::string key =
     std::string(store_keys::kProxyPrefix) + mContext.Name();
@@ -538,7 +548,7 @@
 void
 cluster_state_monitor::Deregister()
 {
-  if (mRegistrationLease == 0) {
+  if (!HasRegistrationLease()) {
     return;
   }
   const auto ended = mContext.mPorts.mStore.RevokeLease(mRegistrationLease);
--- a/Source/Sessions/clClusterStateMonitor.h
+++ b/Source/Sessions/clClusterStateMonitor.h
@@ -71,6 +71,7 @@
   /// aUnderLease: this proxy holds its leadership lease.
   bool ReadFailoverRecords(bool aUnderLease);
   bool IsRegistered() const;
+  bool HasRegistrationLease() const;
   bool Register();
   /// Counts a store call and logs when the store becomes reachable or
   /// unreachable.  Once it is reachable, restarts the watches and lists the
@@ -93,6 +94,8 @@
   bool mIsRefreshing = false;
   time_point mRefreshedAt;
   store_lease_id mRegistrationLease = 0;
+  /// Generation of the store in which that lease was granted.
+  store_generation mRegistrationGeneration = 0;
 };
 
 } // namespace catkinloom
--- a/Source/Sessions/clLeadershipLease.cxx
+++ b/Source/Sessions/clLeadershipLease.cxx
@@ -35,6 +35,7 @@
   if (!lease) {
     return false;
   }
+  mGeneration = store.Generation();
   const std::string key =
     std::string(store_keys::kLeadershipLeasePrefix) + mContext.Name();
   const auto written = store.Overwrite(
@@ -44,6 +45,9 @@
     return false;
   }
   mLease = lease.value();
+  if (!IsHeld()) {
+    return false;
+  }
   Log(log_level::Info,
       "permit",
       "Leadership lease acquired; records are read again under it. lease={}",
@@ -59,7 +63,7 @@
   if (!renewed) {
     return false;
   }
-  if (!renewed.value()) {
+  if (!renewed.value() || !IsHeld()) {
     Log(log_level::Info,
         "permit",
         "Leadership lease revoked or expired; records are read again. lease={}",
--- a/Source/Sessions/clLeadershipLease.h
+++ b/Source/Sessions/clLeadershipLease.h
@@ -25,8 +25,12 @@
 
   leadership_lease(session_context& aContext, store_call_handler aOnStoreCall);
 
-  /// True if this proxy holds a lease and has not learned that it ended.
-  bool IsHeld() const { return mLease != 0; }
+  /// True if this proxy holds a lease and has not learned that it ended.  A
+  /// restore of the store ends it: its id may have been assigned again.
+  bool IsHeld() const
+  {
+    return mLease != 0 && mGeneration == mContext.mPorts.mStore.Generation();
+  }
 
   /// Acquires a new lease and publishes its id; false if either call failed.
   bool Acquire();
@@ -39,6 +43,8 @@
   session_context& mContext;
   store_call_handler mOnStoreCall;
   store_lease_id mLease = 0;
+  /// Generation of the store in which the lease was granted.
+  store_generation mGeneration = 0;
 };
 
 /// Id of the lease that the value of a leadership lease key names; empty if the
