store: evidence of leadership is asked for at most every 120 ms in vain

Cause: the end of a refresh wakes the statements that wait for evidence; those that are still without it ask for the next refresh, which begins at once. Before a restore a lease hid it, since renewals go on until a promoter revokes them.

Change: while a refresh brings no evidence for some group, the next one begins 120 ms after it at the earliest, a quarter of the lifetime of evidence.

The test failed before (1,177 calls a second, 52 allowed: the largest deployment's share of what the store takes).

--- a/Source/Sessions/clClusterStateMonitor.cxx
+++ b/Source/Sessions/clClusterStateMonitor.cxx
@@ -3,6 +3,7 @@
 #include "clLog.h"
 #include "clStoreKeys.h"
 
+#include <algorithm>
 #include <set>
 
 namespace catkinloom {
@@ -13,6 +14,11 @@
 /// expire while its proxy is running and has connections open.
 constexpr milliseconds kProxyRetention{ 4000 };
 
+/// Minimum time between two refreshes while the store has no evidence for a
+/// group.  Well below the lifetime of evidence, so that the other groups do not
+/// run out of it.
+constexpr milliseconds kIncompleteRefreshInterval{ 120 };
+
 std::string
 RemovePrefix(const std::string& aKey, std::string_view aPrefix)
 {
@@ -357,11 +363,7 @@
 void
 cluster_state_monitor::RefreshLeadership()
 {
-  // During a store outage the groups themselves are queried instead, so that
-  // the store is called only now and then.
-  const bool isTooSoon =
-    !mStoreReached &&
-    mContext.Now() < mRefreshedAt + mContext.mSettings.mStoreSlowRetryDelay;
+  const bool isTooSoon = mContext.Now() < mRefreshedAt + RefreshInterval();
   if (mIsRefreshing || isTooSoon) {
     return;
   }
@@ -370,12 +372,36 @@
   mContext.mLoop.Spawn([this] {
     UpdateLeadership();
     mIsRefreshing = false;
+    mIsRefreshComplete = IsProvenAt(mRefreshedAt);
     for (const auto& [service, group] : mContext.mGroups) {
       group->Changed().Notify();
     }
   });
 }
 
+milliseconds
+cluster_state_monitor::RefreshInterval() const
+{
+  // During a store outage the groups themselves are queried instead, so that
+  // the store is called only now and then.
+  if (!mStoreReached) {
+    return mContext.mSettings.mStoreSlowRetryDelay;
+  }
+  // The end of a refresh wakes the statements that wait for evidence, and those
+  // that are still without it ask for the next one.
+  return mIsRefreshComplete ? milliseconds(0) : kIncompleteRefreshInterval;
+}
+
+bool
+cluster_state_monitor::IsProvenAt(time_point aMoment) const
+{
+  return std::all_of(mContext.mGroups.begin(),
+                     mContext.mGroups.end(),
+                     [aMoment](const auto& aGroup) {
+                       return aGroup.second->Leadership().IsProvenAt(aMoment);
+                     });
+}
+
 void
 cluster_state_monitor::UpdateLeadership()
 {
--- a/Source/Sessions/clClusterStateMonitor.h
+++ b/Source/Sessions/clClusterStateMonitor.h
@@ -63,6 +63,10 @@
   void UpdateProxyCount();
   void UpdateGroupInstances();
   void UpdateLeadership();
+  /// Minimum time between the beginnings of two refreshes.
+  milliseconds RefreshInterval() const;
+  /// True if the leader of every group is proven to be the only one at aMoment.
+  bool IsProvenAt(time_point aMoment) const;
   /// Renews the lease, which extends the evidence of every group.  False if the
   /// lease does not cover every group or was not renewed: the records must be
   /// read then.
@@ -93,6 +97,8 @@
   store_generation mGeneration = 0;
   bool mIsRefreshing = false;
   time_point mRefreshedAt;
+  /// The last refresh brought evidence for every group.
+  bool mIsRefreshComplete = true;
   store_lease_id mRegistrationLease = 0;
   /// Generation of the store in which that lease was granted.
   store_generation mRegistrationGeneration = 0;
--- a/Tests/Processes/test_restored_store.py
+++ b/Tests/Processes/test_restored_store.py
@@ -13,6 +13,11 @@
 MAX_RECOVERY_S = 12
 #: Key of the failover record of the group.
 FAILOVER_RECORD = "catkinloom/failover/core"
+#: Calls of a proxy to the store per second: a proxy of the largest deployment's
+#: share of the 2,000 that the store takes.
+MAX_CALLS_PER_S = 2000 / 38
+#: Seconds over which the calls are counted.
+MEASURED_S = 3
 #: Number of writes by write_entries().
 WRITES = 20
 #: Seconds after a change until each proxy waits for the next one.
@@ -99,6 +104,25 @@
         wait_until(self.fleet.leader_is_up, MAX_RECOVERY_S)
         self.assertGreater(self.fleet.promotions[-1][1], token)
 
+    def test_group_without_leader_after_restore_store_is_not_flooded(self):
+        """Regression test for issue 28.
+
+        Statements that waited for evidence asked the store again as soon as it
+        had answered, 140 times a second.
+        """
+        copy = self.fleet.store.copy()
+        for _ in range(3):
+            self.write_in_background()
+        for ident in ("i-1", "i-2"):
+            self.fleet.run(self.fleet.instances[ident].crash())
+        self.restore_store(copy)
+        time.sleep(1)
+        calls = "catkinloom_store_calls_total"
+        before = self.proxies[1].metric_value(calls)
+        time.sleep(MEASURED_S)
+        made = self.proxies[1].metric_value(calls) - before
+        self.assertLess(made / MEASURED_S, MAX_CALLS_PER_S)
+
     def is_up_to_date(self, ident):
         return self.fleet.instances[ident].log == self.fleet.leader().log
 
@@ -110,6 +134,7 @@
             while not stopping.is_set():
                 try:
                     caller = Caller(self.proxies[1], "current")
+                    caller.read("x")
                     caller.write("x", "1")
                     caller.close()
                 except OSError:
