failover: a leader that is back under another name is stepped down

Cause: an instance may return at its address under a new name, with its log, and still lead. The attempt knew the leader by its former name only; it paused the returned one like a replica, which has no effect on a leader, so that commits never counted as stopped.

Change: an instance that serves the leader's last address, leads the newest term known, and has everything that the record, the members and the leader's last report require, is the leader to replace: it is stepped down, and its log counts as the leader's.

Ruled out: taking any instance that leads the newest known term. A former leader that is cut from its group leads a term that may be the newest one this proxy knows, and the present leader's commits may be elsewhere. Another instance at the leader's address proves that the leader's process has ended.

--- a/Source/Decisions/clLeadership.h
+++ b/Source/Decisions/clLeadership.h
@@ -177,6 +177,13 @@
   /// observation is recent enough.
   std::optional<log_position> FloorSince(time_point aMoment) const;
 
+  /// Newest known log end of the leader; zero if none is known.
+  log_position NewestPosition() const
+  {
+    return mObservations.empty() ? log_position{}
+                                 : mObservations.back().mPosition;
+  }
+
   /// An instance other than the leader left, or restarted without its log.  It
   /// confirmed no commit after aMoment, which may be in the past, and may have
   /// had the only copy of an earlier one besides the leader's.
--- a/Source/Sessions/clFailoverAttempt.cxx
+++ b/Source/Sessions/clFailoverAttempt.cxx
@@ -344,6 +344,17 @@
     if (!hasLog && isPause) {
       mGroup.Leadership().OnMemberLost(Now());
     }
+    if (IsReturnedPrimary(aInstance, status)) {
+      Log(log_level::Info,
+          "failover",
+          "Leader is back under another name; it is stepped down. service={} "
+          "former={} instance={} term={}",
+          mGroup.Service(),
+          mPrimary,
+          member.mId,
+          status.mTerm);
+      mPrimary = member.mId;
+    }
     member.mStopped = !isPause && !status.mLeads && hasLog;
     member.mPausedTerm = isPause ? status.mPausedTerm : 0;
     member.mTerm = status.mTerm;
@@ -368,6 +379,22 @@
     aAnswer ? "" : aAnswer.error().mDetail);
 }
 
+bool
+failover_attempt::IsReturnedPrimary(const upstream_instance& aInstance,
+                                    const instance_status& aStatus) const
+{
+  const bool servesItsAddress =
+    aInstance.mEntry.mId != mPrimary &&
+    aInstance.mEntry.mAddress == mGroup.LeaderAddress();
+  log_position newest =
+    std::max(InheritedCommits().mFloor, mGroup.Leadership().NewestPosition());
+  for (const failover_member& member : mMembers) {
+    newest = std::max(newest, member.mPosition);
+  }
+  return servesItsAddress && aStatus.mLeads &&
+         aStatus.mTerm + 1 >= NextTerm() && aStatus.mReceived >= newest;
+}
+
 void
 failover_attempt::StepPrimaryDown()
 {
--- a/Source/Sessions/clFailoverAttempt.h
+++ b/Source/Sessions/clFailoverAttempt.h
@@ -76,6 +76,10 @@
                           instance_command aCommand,
                           term_number aTerm,
                           const result<instance_status>& aAnswer);
+  /// True if aInstance is the leader to replace, back under another name: it
+  /// serves the leader's address, leads the newest term and has its log.
+  bool IsReturnedPrimary(const upstream_instance& aInstance,
+                         const instance_status& aStatus) const;
   void StepPrimaryDown();
   bool RevokeLeases();
   void AwaitEvidenceExpiry();
--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -77,11 +77,20 @@
 {
   aInstance.mRemoved = true;
   aInstance.mIdle.clear();
-  // A commit is confirmed by other members, so the loss of the leader's own
-  // copy is not counted.
-  if (aInstance.mEntry.mId != mLeadership.Leader()) {
-    mLeadership.OnMemberLost(aInstance.mEndedSince.value_or(Now()));
+  if (aInstance.mEntry.mId == mLeadership.Leader()) {
+    // A commit is confirmed by other members, so the loss of the leader's own
+    // copy is not counted.
+    mRemovedLeaderAddress = aInstance.mEntry.mAddress;
+    return;
   }
+  mLeadership.OnMemberLost(aInstance.mEndedSince.value_or(Now()));
+}
+
+std::string
+upstream_group::LeaderAddress() const
+{
+  const auto leader = Leader();
+  return leader ? leader->mEntry.mAddress : mRemovedLeaderAddress;
 }
 
 void
--- a/Source/Sessions/clUpstreamGroup.h
+++ b/Source/Sessions/clUpstreamGroup.h
@@ -206,6 +206,8 @@
   std::uint32_t ExclusionBit(const upstream_instance& aInstance) const;
 
   group_leadership& Leadership() { return mLeadership; }
+  /// Last known address of the leader; empty if it was never listed.
+  std::string LeaderAddress() const;
 
   /// Notified when instances, leadership or evidence change.
   fiber_signal& Changed() { return mChanged; }
@@ -280,6 +282,8 @@
   statement_queue mWaiting;
   /// When the first directory entries were received; empty before.
   std::optional<time_point> mKnownSince;
+  /// Address of the latest leader that the directory no longer lists.
+  std::string mRemovedLeaderAddress;
   bool mIsPollingGroup = false;
   bool mIsIdleCleanupScheduled = false;
   bool mIsPollingLeader = false;
--- a/StandIns/fleet_stand_in.py
+++ b/StandIns/fleet_stand_in.py
@@ -399,6 +399,17 @@
         leaders = [i for i in self.instances.values() if i.is_leader]
         return max(leaders, key=lambda i: i.term) if leaders else None
 
+    async def return_as(self, lost, ident):
+        """Replaces a crashed instance by one with its log under a new name."""
+        del self.instances[lost.ident]
+        await self.store.delete("servers/" + lost.ident)
+        instance = Instance(self, ident, lost.zone)
+        instance.log, instance.term = list(lost.log), lost.term
+        instance.is_leader = lost.is_leader
+        instance.address = lost.address
+        self.instances[ident] = instance
+        await instance.restart()
+
     def leader_is_up(self):
         leader = self.leader()
         return leader is not None and leader.mode == "up"
--- a/Tests/Processes/test_sessions.py
+++ b/Tests/Processes/test_sessions.py
@@ -263,6 +263,30 @@
             wait_until(lambda: not instance.is_leader)
         self.assertLess(self.time_leader_replacement(drain), 3)
 
+    def test_leader_and_replica_back_under_new_names_writes_continue(self):
+        """Regression test for issue 28.
+
+        The leader returned under a new name and still led.  Attempts paused it
+        like a replica, which has no effect, and never stopped its commits.
+        """
+        caller = self.caller("current")
+        for number in range(20):
+            self.assertTrue(caller.write(f"k{number}", number))
+        time.sleep(3)  # The directory must be known to be complete.
+        self.write_in_background("z")
+        lost = [self.fleet.instances[name] for name in ("i-1", "i-2")]
+        for instance in lost:
+            self.fleet.run(instance.crash())
+        wait_until(lambda: "catkinloom/failover/core" in
+                   self.fleet.store.items)
+        for instance, name in zip(lost, ("i-4", "i-5")):
+            self.fleet.run(self.fleet.return_as(instance, name))
+        self.write_until_acknowledged(
+            lambda: Caller(self.proxies[1], "current"), "after", "1")
+        reader = self.caller("current", 1)
+        for number in range(20):
+            self.assertEqual(reader.read(f"k{number}"), str(number))
+
     def test_leader_lost_in_store_outage_is_replaced_after_it(
             self):
         """Regression test for incident inc-6be7.
