failover: an attempt that knows no present record asks for it

An attempt whose record is not of the store's present generation is not written; it now reads the records at once, so that the next one can be, also in a group that nobody reads from. A decision is written one step a line; no other behaviour changes.

--- a/Source/Decisions/clLeadership.cxx
+++ b/Source/Decisions/clLeadership.cxx
@@ -13,10 +13,13 @@
 record_version
 ContentsVersion(const failover_record& aRecord)
 {
-  if (aRecord.IsCurrent() || aRecord.mVersion.mRevision == 0) {
-    return aRecord.IsCurrent() ? aRecord.mVersion : record_version{};
+  if (aRecord.IsCurrent()) {
+    return aRecord.mVersion;
   }
-  return { aRecord.mWrittenIn, aRecord.mVersion.mRevision };
+  const bool isAbsent = aRecord.mVersion.mRevision == 0;
+  return isAbsent
+           ? record_version{}
+           : record_version{ aRecord.mWrittenIn, aRecord.mVersion.mRevision };
 }
 
 } // namespace
--- a/Source/Sessions/clFailoverAttempt.cxx
+++ b/Source/Sessions/clFailoverAttempt.cxx
@@ -227,7 +227,9 @@
 failover_attempt::WriteRecord()
 {
   if (mContext.mPorts.mStore.Generation() != mRecord.mVersion.mGeneration) {
-    LogRecordNotWritten("the store was restored");
+    // The record as this proxy knows it is not the one that the store has now.
+    LogRecordNotWritten("not read since the store was restored");
+    mContext.mRefreshLeadership();
     return false;
   }
   const std::string key =
