--- a/Tests/Processes/fleet_case.py
+++ b/Tests/Processes/fleet_case.py
@@ -172,6 +172,12 @@
         """Address at which the proxies reach the store."""
         return self.fleet.store_address
 
+    def is_served(self, database, proxy=0):
+        """Returns whether a proxy accepts a session on the database."""
+        caller = Caller(self.proxies[proxy], database)
+        caller.close()
+        return caller.startup_response.startswith("READY")
+
     def caller(self, database, proxy=0):
         caller = Caller(self.proxies[proxy], database)
         self.addCleanup(caller.close)
--- a/Tests/Processes/test_changes.py
+++ b/Tests/Processes/test_changes.py
@@ -3,17 +3,17 @@
 import time
 import unittest
 
-from fleet_case import Caller, FleetCase, ROUTES, wait_until
+from fleet_case import FleetCase, ROUTES, wait_until
 from loopback_relay import Relay
 
 #: Seconds from the confirmation of a change until it must be in force.
 MAX_CHANGE_S = 5
+#: The same bound of a proxy without a setting for it.
+DEFAULT_MAX_CHANGE_S = 3
 #: Bandwidth of the narrowest links of the deployments, 10 Mbit/s.
 NARROW_LINK_BYTES_PER_S = 1250000
 #: Routes of a desired state that is close to the store's limit of 1 MiB.
 LARGE_STATE_ROUTES = 6000
-#: The same bound of a proxy without a setting for it.
-DEFAULT_MAX_CHANGE_S = 3
 #: Seconds from an instance's report that it drains until it gets no new work;
 #: the strictest bound of the deployments.
 MAX_DRAIN_S = 7
@@ -39,12 +39,7 @@
         """
         self.ignore_next_watches()
         self.fleet.set_desired_state(7, {**ROUTES, "added": "primary"})
-
-        def is_served():
-            caller = Caller(self.proxies[0], "added")
-            caller.close()
-            return caller.startup_response.startswith("READY")
-        wait_until(is_served, DEFAULT_MAX_CHANGE_S)
+        wait_until(lambda: self.is_served("added"), DEFAULT_MAX_CHANGE_S)
 
     def test_leaving_instance_after_ignored_watch_gets_no_work_in_time(self):
         """Regression test for issue 28: the same for the directory."""
@@ -69,11 +64,6 @@
         self.relay = self.fleet.run(Relay(self.fleet.store_address).start())
         return self.relay.address
 
-    def is_served(self, database):
-        caller = Caller(self.proxies[0], database)
-        caller.close()
-        return caller.startup_response.startswith("READY")
-
     def set_large_state(self, version, routes):
         added = {f"idle-{number}": "primary"
                  for number in range(LARGE_STATE_ROUTES)}
--- a/Tests/Processes/test_restored_store.py
+++ b/Tests/Processes/test_restored_store.py
@@ -25,11 +25,6 @@
 
 
 class RestoredStoreTest(FleetCase):
-    def is_served(self, database, proxy=0):
-        caller = Caller(self.proxies[proxy], database)
-        caller.close()
-        return caller.startup_response.startswith("READY")
-
     def write_entries(self):
         for _ in range(WRITES):
             self.fleet.run(self.fleet.instances["i-3"].register())
--- a/Tests/Processes/test_sessions.py
+++ b/Tests/Processes/test_sessions.py
@@ -138,15 +138,10 @@
 class DesiredStateTest(FleetCase):
     def test_newer_version_takes_effect_and_older_is_ignored(self):
         self.fleet.set_desired_state(5, {**ROUTES, "added": "primary"})
-
-        def is_served():
-            caller = Caller(self.proxies[0], "added")
-            caller.close()
-            return caller.startup_response.startswith("READY")
-        self.assertLess(wait_until(is_served), 1)
+        self.assertLess(wait_until(lambda: self.is_served("added")), 1)
         self.fleet.set_desired_state(4, ROUTES)
         time.sleep(0.5)
-        self.assertTrue(is_served())
+        self.assertTrue(self.is_served("added"))
 
     def test_unreadable_state_keeps_the_current_one(self):
         self.fleet.run(self.fleet.store.write("op/config", b"{broken"))
@@ -162,12 +157,9 @@
         time.sleep(3)
         self.fleet.store.mode = "up"
         self.fleet.set_desired_state(7, {**ROUTES, "added": "primary"})
-        for proxy in self.proxies:
-            def is_served(proxy=proxy):
-                caller = Caller(proxy, "added")
-                caller.close()
-                return caller.startup_response.startswith("READY")
-            self.assertLess(wait_until(is_served), 3)
+        for proxy in range(len(self.proxies)):
+            self.assertLess(
+                wait_until(lambda p=proxy: self.is_served("added", p)), 3)
 
     def test_session_start_after_restart_waits_for_store(self):
         proxy = self.proxies[0]
