--- a/Source/Sessions/clClusterStateMonitor.cxx
+++ b/Source/Sessions/clClusterStateMonitor.cxx
@@ -4,6 +4,7 @@
 #include "clStoreKeys.h"
 
 #include <algorithm>
+#include <fmt/ranges.h>
 #include <set>
 
 namespace catkinloom {
@@ -326,15 +327,16 @@
     Log(log_level::Info,
         "failover",
         "Record read; the leader that it names is adopted, unless a restore of "
-        "the store brought it back. service={} revision={} generation={} "
-        "written_in={} leader={} contested={} holder={}",
+        "the store brought it back. service={} revision={} contested={} "
+        "holder={} may_lead=[{}] leader={} generation={} written_in={}",
         aService,
         aItem.mRevision,
-        aItem.mGeneration,
-        record.value().mWrittenIn,
-        record.value().mLeader,
         record.value().mPhase == failover_phase::InProgress,
-        record.value().mHolder);
+        record.value().mHolder,
+        fmt::join(record.value().mPossibleLeaders, ","),
+        record.value().mLeader,
+        aItem.mGeneration,
+        record.value().mWrittenIn);
     group.NotifyAll();
   }
 }
--- a/Source/Sessions/clFailoverAttempt.cxx
+++ b/Source/Sessions/clFailoverAttempt.cxx
@@ -5,6 +5,7 @@
 #include "clStoreKeys.h"
 
 #include <algorithm>
+#include <fmt/ranges.h>
 
 namespace catkinloom {
 
@@ -32,6 +33,12 @@
 /// proxy may have claimed the record and promoted an instance.
 constexpr milliseconds kMaxTokenDelay{ 200 };
 
+milliseconds::rep
+ToMilliseconds(nanoseconds aTime)
+{
+  return std::chrono::duration_cast<milliseconds>(aTime).count();
+}
+
 } // namespace
 
 std::string_view
@@ -98,20 +105,23 @@
 bool
 failover_attempt::Run()
 {
-  Log(log_level::Info,
-      "failover",
-      "Attempt begins; it claims the failover record and stops commits. "
-      "service={} leader={} reason={} revision={} "
-      "floor={}.{} loss_floor={}.{} unknown_loss={}",
-      mGroup.Service(),
-      mPrimary,
-      FailoverReasonName(mReason),
-      mRecord.mVersion.mRevision,
-      mRecordFloor.mTerm,
-      mRecordFloor.mIndex,
-      mGroup.Leadership().LossFloor().mTerm,
-      mGroup.Leadership().LossFloor().mIndex,
-      mGroup.Leadership().HasUnknownLoss());
+  Log(
+    log_level::Info,
+    "failover",
+    "Attempt begins; it claims the failover record and stops commits. "
+    "service={} leader={} reason={} revision={} former_holder={} may_lead=[{}] "
+    "floor={}.{} loss_floor={}.{} unknown_loss={}",
+    mGroup.Service(),
+    mPrimary,
+    FailoverReasonName(mReason),
+    mRecord.mVersion.mRevision,
+    mGroup.Leadership().Record().mHolder,
+    fmt::join(mRecord.mPossibleLeaders, ","),
+    mRecordFloor.mTerm,
+    mRecordFloor.mIndex,
+    mGroup.Leadership().LossFloor().mTerm,
+    mGroup.Leadership().LossFloor().mIndex,
+    mGroup.Leadership().HasUnknownLoss());
   if (!WriteRecord()) {
     return false;
   }
@@ -668,16 +678,23 @@
     mGroup.Service(), aChosen, mContext.Name(), FencingToken(mRecord.mVersion)
   };
   mContext.mMetrics.mPromotions.Increment();
+  const time_point startedAt = Now();
   const promotion_outcome end =
     mContext.mPorts.mPromotions.Promote(request, settings.mPromoteTimeout);
   Log(log_level::Info,
       "failover",
       "Promotion command finished; end is 0 accepted, 1 refused, 2 not "
-      "executed, 3 no response. service={} instance={} token={} end={}",
+      "executed, 3 no response. service={} instance={} token={} end={} "
+      "record_write_ms={} taken_ms={}",
       request.mService,
       request.mInstance,
       request.mFencingToken,
-      static_cast<int>(end));
+      static_cast<int>(end),
+      ToMilliseconds(startedAt - writtenAt),
+      ToMilliseconds(Now() - startedAt));
+  if (end == promotion_outcome::Unknown) {
+    mContext.mMetrics.mUnansweredPromotions.Increment();
+  }
   if (end == promotion_outcome::Accepted) {
     return true;
   }
--- a/Source/Sessions/clSessionMetrics.cxx
+++ b/Source/Sessions/clSessionMetrics.cxx
@@ -58,6 +58,10 @@
   , mPromotions(AddCounter(*mRegistry,
                            "catkinloom_promotion_orders_total",
                            "Promotion commands issued by this proxy."))
+  , mUnansweredPromotions(AddCounter(
+      *mRegistry,
+      "catkinloom_promotion_orders_unanswered_total",
+      "Promotion commands without a response; they may be executed later."))
   , mLogLinesSuppressed(
       AddCounter(*mRegistry,
                  "catkinloom_log_lines_left_out_total",
--- a/Source/Sessions/clSessionMetrics.h
+++ b/Source/Sessions/clSessionMetrics.h
@@ -39,6 +39,7 @@
   prometheus::Counter& mWatchFailures;
   prometheus::Counter& mWatchRestarts;
   prometheus::Counter& mPromotions;
+  prometheus::Counter& mUnansweredPromotions;
   prometheus::Counter& mLogLinesSuppressed;
   prometheus::Gauge& mStoreGeneration;
   prometheus::Gauge& mDesiredVersion;
