--- a/StandIns/fleet_stand_in.py
+++ b/StandIns/fleet_stand_in.py
@@ -31,6 +31,8 @@
         #: Number of the store's history, sent with every response.
         self.era = 1
         self.changed = asyncio.Condition()
+        #: Called with key and value of each write before it is answered.
+        self.on_write = lambda key, value: None
         #: "up", "busy" (responds 503), "silent" (closes a connection after 5 s
         #: without a response) or "mute" (does so after 60 s).
         self.mode = "up"
@@ -60,6 +62,7 @@
                 "created": created or self.revision, "lease": lease}
         self.items[key] = item
         self.events.append(item)
+        self.on_write(key, value)
         await self.notify_watchers()
 
     async def delete(self, key):
@@ -364,7 +367,12 @@
                                        daemon=True)
         self.thread.start()
         self.instances = {}
+        #: False simulates a platform that accepts any fencing token.
+        self.checks_tokens = True
         self.fencing_token = 0
+        #: Holder, token and instance of each promotion command, in order of
+        #: arrival, and of those that were executed.
+        self.promotion_arrivals = []
         self.promotions = []
         self.promotion_responses_to_drop = 0
         self.store_address = self.run(self.start())
@@ -416,14 +424,15 @@
 
     async def promote(self, headers, body):
         token = int(headers["x-catkinloom-fencing-token"])
-        if token < self.fencing_token:
+        command = (headers["x-catkinloom-lease-holder"], token, body["id"])
+        self.promotion_arrivals.append(command)
+        if self.checks_tokens and token < self.fencing_token:
             return 409, {}
         self.fencing_token = token
         candidate = self.instances[body["id"]]
         if candidate.mode != "up":
             return 409, {}
-        self.promotions.append((headers["x-catkinloom-lease-holder"], token,
-                                candidate.ident))
+        self.promotions.append(command)
         asyncio.ensure_future(self.complete_promotion(candidate))
         return 200, {}
 
--- a/StandIns/loopback_relay.py
+++ b/StandIns/loopback_relay.py
@@ -6,11 +6,15 @@
 """
 
 import asyncio
+import socket
 import time
 
 #: Maximum number of bytes that are forwarded at once.
 READ_BYTES = 16384
 
+#: Connections that fill the queue of a listener with the shortest queue.
+FILLERS = 2
+
 #: Directions of a relayed connection.
 CLIENT_TO_TARGET, TARGET_TO_CLIENT = "forth", "back"
 
@@ -29,10 +33,14 @@
         #: Directions in which no data is forwarded; it is held back until the
         #: direction is removed.
         self.blocked_directions = set()
+        #: Whether the block also applies to connections opened from now on.
+        self.blocks_new_connections = True
+        #: Connections that fill the queue while none is accepted.
+        self.fillers = []
         self.refuses_connections = False
         self.writers = set()
         self.address = None
-        self.server = None
+        self.server, self.listener = None, None
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -40,6 +48,30 @@
             self.server.sockets[0].getsockname()[1]
         return self
 
+    async def stop_accepting(self):
+        """Leaves new connections in the state in which their opening packet is
+        not answered, as behind a full queue."""
+        self.server.close()
+        host, port = self.address.rsplit(":", 1)
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, int(port)))
+        listener.listen(0)
+        for _ in range(FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((host, int(port)))
+            self.fillers.append(filler)
+        self.listener = listener
+
+    async def resume_accepting(self):
+        for filler in self.fillers:
+            filler.close()
+        self.fillers.clear()
+        self.listener.setblocking(False)
+        self.server = await asyncio.start_server(self.serve,
+                                                 sock=self.listener)
+
     def reset(self):
         """Resets every open connection."""
         for writer in list(self.writers):
@@ -49,11 +81,13 @@
         self.delay_s, self.refuses_connections = 0.0, False
         self.bytes_per_s = None
         self.blocked_directions.clear()
+        self.blocks_new_connections = True
 
     async def serve(self, reader, writer):
         if self.refuses_connections:
             writer.transport.abort()
             return
+        is_blockable = self.blocks_new_connections
         host, port = self.target.rsplit(":", 1)
         try:
             target_reader, target_writer = await asyncio.open_connection(
@@ -63,8 +97,10 @@
             return
         try:
             await asyncio.gather(
-                self.pump(reader, target_writer, CLIENT_TO_TARGET),
-                self.pump(target_reader, writer, TARGET_TO_CLIENT))
+                self.pump(reader, target_writer, CLIENT_TO_TARGET,
+                          is_blockable),
+                self.pump(target_reader, writer, TARGET_TO_CLIENT,
+                          is_blockable))
         except asyncio.CancelledError:
             # The event loop stops at the end of a test; an error from here
             # would only add noise to the output.
@@ -78,7 +114,7 @@
         self.sent_at[direction] = start + size / self.bytes_per_s
         await asyncio.sleep(self.sent_at[direction] - now)
 
-    async def pump(self, reader, writer, direction):
+    async def pump(self, reader, writer, direction, is_blockable):
         self.writers.add(writer)
         try:
             while True:
@@ -86,7 +122,7 @@
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
                 await self.await_bandwidth(direction, len(data))
-                while direction in self.blocked_directions:
+                while is_blockable and direction in self.blocked_directions:
                     await asyncio.sleep(0.02)
                 if not data:
                     break
--- a/Tests/Processes/fleet_case.py
+++ b/Tests/Processes/fleet_case.py
@@ -39,7 +39,10 @@
 class Proxy:
     """A session proxy process and its settings file."""
 
-    def __init__(self, name, zone, store, folder):
+    def __init__(self, name, zone, store, folder, promotions=None,
+                 fenced=True):
+        """promotions is the address of the promotion API, by default store;
+        fenced tells whether that API checks fencing tokens."""
         self.name = name
         self.callers, self.ready, self.metrics = (free_port()
                                                   for _ in range(3))
@@ -50,7 +53,8 @@
             f"  ready: 127.0.0.1:{self.ready}\n"
             f"  metrics: 127.0.0.1:{self.metrics}\n"
             f"store:\n  address: {store}\n"
-            f"promotions:\n  address: {store}\n")
+            f"promotions:\n  address: {promotions or store}\n"
+            f"  fenced: {'true' if fenced else 'false'}\n")
         self.log = folder / f"{name}.log"
         self.process = None
 
@@ -151,16 +155,19 @@
     """Runs two proxies in front of one group of three instances."""
 
     PROXIES = (("p-1", "a"), ("p-2", "b"))
+    #: Whether the promotion API checks fencing tokens.
+    FENCED = True
 
     def setUp(self):
         self.folder = tempfile.TemporaryDirectory()
         self.addCleanup(self.folder.cleanup)
         self.fleet = Fleet()
         self.addCleanup(self.fleet.stop)
+        self.fleet.checks_tokens = self.FENCED
         self.fleet.set_desired_state(2, ROUTES)
-        store = self.store_address()
         self.proxies = [
-            Proxy(name, zone, store, pathlib.Path(self.folder.name))
+            Proxy(name, zone, self.store_address(name), pathlib.Path(self.folder.name),
+                  self.promotion_address(name), self.FENCED)
             for name, zone in self.PROXIES]
         for proxy in self.proxies:
             proxy.start()
@@ -168,8 +175,12 @@
         for proxy in self.proxies:
             wait_until(proxy.is_ready)
 
-    def store_address(self):
-        """Address at which the proxies reach the store."""
+    def store_address(self, _name):
+        """Address at which a proxy reaches the store."""
+        return self.fleet.store_address
+
+    def promotion_address(self, _name):
+        """Address at which a proxy reaches the promotion API."""
         return self.fleet.store_address
 
     def is_served(self, database, proxy=0):
--- a/Tests/Processes/test_changes.py
+++ b/Tests/Processes/test_changes.py
@@ -60,7 +60,7 @@
 
     PROXIES = (("p-1", "a"),)
 
-    def store_address(self):
+    def store_address(self, _name):
         self.relay = self.fleet.run(Relay(self.fleet.store_address).start())
         return self.relay.address
 
