failover: no newer promotion command while an earlier one may be executed

An instance may so lead again that lacks acknowledged commits.

Cause: a request that its sender has given up on was taken for one that no longer exists. A proxy took over 3.7 s after it saw the record; the former holder's command was held back longer (cut, killed holder), or was sent late (suspended after the check of the token's age, which was made before the connection was open). A holder repeated an unanswered command under newer tokens, several under way at once. The lifetime of an unanswered command was known (10 s), but applied to other instances only, counted anew by each proxy that took over, and ended never while a record was in progress.

Change, where the platform checks no tokens: - the record names the token; a repetition has the same one, and is sent within 1.5 s of the record's write, which is checked when the connection is open; - whoever sees the token first in a record waits 1.5 + 10 s from then, whichever proxy holds the record, before any other command; a complete record's leader is not replaced in that time; - if the commanded instance leads, the record is completed without a command.

An instance that leads no longer counts as paused.

A unit test expected that a stepped-down primary and a stopped replica stop the commits of a possible leader; it is replaced by a stricter one (both paused).

--- a/Source/Decisions/clFailoverPlan.cxx
+++ b/Source/Decisions/clFailoverPlan.cxx
@@ -27,6 +27,18 @@
     }));
 }
 
+/// The same for an instance that may lead a newer term than the members know.
+std::size_t
+CountReceiversOfNewLeader(const std::vector<failover_member>& aMembers,
+                          const std::string& aLeader)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aMembers.begin(), aMembers.end(), [&](const failover_member& aMember) {
+      const bool isPaused = aMember.mStopped && aMember.mPausedTerm != 0;
+      return aMember.mId != aLeader && !isPaused;
+    }));
+}
+
 } // namespace
 
 term_number
@@ -68,7 +80,7 @@
   return std::all_of(aPossibleLeaders.begin(),
                      aPossibleLeaders.end(),
                      [&](const std::string& aLeader) {
-                       return CountActiveReceivers(aMembers, aLeader) <
+                       return CountReceiversOfNewLeader(aMembers, aLeader) <
                               aSyncReplicas;
                      });
 }
@@ -99,8 +111,18 @@
 std::optional<std::string>
 ChooseNextLeader(const std::vector<failover_member>& aMembers,
                  const std::string& aPrimary,
-                 const inherited_commits& aInherited)
+                 const inherited_commits& aInherited,
+                 const std::vector<std::string>& aPossibleLeaders)
 {
+  const bool mayHaveLedUnseen =
+    std::any_of(aPossibleLeaders.begin(),
+                aPossibleLeaders.end(),
+                [&](const std::string& aLeader) {
+                  return aLeader != aPrimary && !IsStopped(aMembers, aLeader);
+                });
+  if (aInherited.mOnlyPrimaryHasAll && mayHaveLedUnseen) {
+    return std::nullopt;
+  }
   const auto primary = std::find_if(
     aMembers.begin(), aMembers.end(), [&](const failover_member& aMember) {
       return aMember.mId == aPrimary && aMember.mStopped;
--- a/Source/Decisions/clFailoverPlan.h
+++ b/Source/Decisions/clFailoverPlan.h
@@ -16,6 +16,7 @@
   /// It accepts no new work, but still confirms commits.
   bool mDraining = false;
   /// It has confirmed that its replication is paused or that it stepped down.
+  /// Unless it is paused, it may receive the commits of another leader.
   bool mStopped = false;
   /// Newest term that it knew at its last report.
   term_number mTerm = 0;
@@ -53,8 +54,9 @@
 /// lead has stepped down, or too few instances can confirm its commits.
 ///
 /// aPossibleLeaders are the instances whose promotion was commanded without a
-/// response.  Such a command may still take effect and undo the instance's own
-/// stop, so only the stops of the other instances count against it.
+/// response.  Such a command may have taken effect, or may still do so and undo
+/// the instance's own stop, so only the pauses of the other instances count
+/// against it: one that stepped down receives the commits of the new leader.
 bool
 IsEveryCommitStopped(const std::vector<failover_member>& aMembers,
                      const std::string& aPrimary,
@@ -82,12 +84,15 @@
 /// draining, and then one other than the current primary.
 ///
 /// A primary may have commits of earlier terms that exist nowhere else, so the
-/// longest log among the replicas may still be too short.  Empty when no
-/// stopped instance is known to have every commit.
+/// longest log among the replicas may still be too short.  One of
+/// aPossibleLeaders, see IsEveryCommitStopped, may have led after the primary,
+/// which then lacks its commits.  Empty when no stopped instance is known to
+/// have every commit.
 std::optional<std::string>
 ChooseNextLeader(const std::vector<failover_member>& aMembers,
                  const std::string& aPrimary,
-                 const inherited_commits& aInherited);
+                 const inherited_commits& aInherited,
+                 const std::vector<std::string>& aPossibleLeaders = {});
 
 /// Whether the chosen instance may still be promoted.
 enum class eligibility
--- a/Source/Decisions/clLeadership.cxx
+++ b/Source/Decisions/clLeadership.cxx
@@ -24,6 +24,12 @@
 
 } // namespace
 
+std::uint64_t
+NextFencingToken(const failover_record& aRecord)
+{
+  return std::max(aRecord.mToken, FencingToken(aRecord.mVersion)) + 1;
+}
+
 std::optional<std::size_t>
 FindGroupLeader(const std::vector<member_status>& aMembers,
                 std::uint32_t aSyncReplicas)
--- a/Source/Decisions/clLeadership.h
+++ b/Source/Decisions/clLeadership.h
@@ -42,8 +42,11 @@
   log_position mFloor;
   /// Proxy that wrote the record.
   std::string mHolder;
-  /// Instances whose promotion was commanded and may still take effect.
+  /// Instances whose promotion was commanded and may have taken effect, or may
+  /// still do so; that of the newest command is the last one.
   std::vector<std::string> mPossibleLeaders;
+  /// Fencing token of the newest promotion command; 0 if there was none.
+  std::uint64_t mToken = 0;
 
   bool operator==(const failover_record&) const = default;
 
@@ -56,6 +59,13 @@
   }
 };
 
+/// Fencing token of the next promotion command, for the record that replaces
+/// aRecord.  It is above every token that aRecord and its predecessors named,
+/// and no other record names it: of the writes that replace aRecord, the store
+/// accepts one.
+std::uint64_t
+NextFencingToken(const failover_record& aRecord);
+
 /// Leadership and replication state that one instance reports.
 struct member_status
 {
--- a/Source/Decisions/clRecordVersion.h
+++ b/Source/Decisions/clRecordVersion.h
@@ -20,8 +20,8 @@
 /// Highest generation of a store that has never been restored.
 constexpr std::uint64_t kFirstGeneration = 1;
 
-/// Fencing token of a promotion that a record of this version names; it
-/// increases with the version.
+/// Lower bound of the fencing tokens of promotions that a newer record names;
+/// it increases with the version.
 constexpr std::uint64_t
 FencingToken(record_version aVersion)
 {
--- a/Source/Ports/clPromotionPort.h
+++ b/Source/Ports/clPromotionPort.h
@@ -17,6 +17,8 @@
   /// Increases with every attempt; a platform that checks tokens refuses a
   /// command with an older one.
   std::uint64_t mFencingToken = 0;
+  /// The command is not sent after this time.
+  time_point mSendBy;
 };
 
 /// Outcome of a promotion command.
@@ -38,7 +40,9 @@
 public:
   virtual ~promotion_port() = default;
 
-  /// Sends the command; suspends the calling fiber.
+  /// Sends the command, unless its time has passed when the connection is open;
+  /// suspends the calling fiber.  A command that gets no response in time is
+  /// withdrawn from the network as far as possible.
   virtual promotion_outcome Promote(const promotion_request& aRequest,
                                     milliseconds aTimeout) = 0;
 };
--- a/Source/Runtime/clHttpClient.cxx
+++ b/Source/Runtime/clHttpClient.cxx
@@ -170,6 +170,14 @@
   return code;
 }
 
+void
+http_client_connection::DiscardUnsentOnClose()
+{
+  beast::error_code ignored;
+  mStream.socket().set_option(boost::asio::socket_base::linger(true, 0),
+                              ignored);
+}
+
 bool
 http_client_connection::IsReusable()
 {
--- a/Source/Runtime/clHttpClient.h
+++ b/Source/Runtime/clHttpClient.h
@@ -71,6 +71,10 @@
                                 nanoseconds aTimeout,
                                 const large_response_options& aOptions);
 
+  /// Makes Close, and the end of the process, reset the connection: what the
+  /// network has not delivered by then is never delivered.
+  void DiscardUnsentOnClose();
+
   /// False when the server closed the connection or sent unsolicited data.
   bool IsReusable();
 
--- a/Source/Sessions/clFailoverAttempt.cxx
+++ b/Source/Sessions/clFailoverAttempt.cxx
@@ -28,11 +28,6 @@
 /// Time after which an attempt is abandoned.
 constexpr milliseconds kMaxAttemptDuration{ 8000 };
 
-/// A token is discarded if writing the record took longer than the store's
-/// time-out plus this time: the process was suspended in between, and another
-/// proxy may have claimed the record and promoted an instance.
-constexpr milliseconds kMaxTokenDelay{ 200 };
-
 milliseconds::rep
 ToMilliseconds(nanoseconds aTime)
 {
@@ -79,7 +74,7 @@
                                    upstream_group& aGroup,
                                    failover_reason aReason,
                                    const failover_record& aRecord,
-                                   time_point aRecordSince)
+                                   std::optional<time_point> aPendingUntil)
   : mContext(aContext)
   , mGroup(aGroup)
   , mReason(aReason)
@@ -87,14 +82,14 @@
   , mRecord(aRecord)
   , mRecordFloor(aRecord.mFloor)
   , mUnansweredPromotions(aRecord.mPossibleLeaders)
-  , mLastUnansweredAt(aRecordSince)
-  , mDeadline(aContext.Now() + kMaxAttemptDuration)
+  , mPendingUntil(aPendingUntil.value_or(aContext.Now()))
+  , mDeadline(std::max(mPendingUntil, aContext.Now()) + kMaxAttemptDuration)
 {
-  const bool commandsHaveExpired =
-    Now() >= aRecordSince + aContext.mSettings.mUnansweredCommandLifetime;
-  if (aRecord.mPhase == failover_phase::Complete && commandsHaveExpired) {
-    mRecord.mPossibleLeaders.clear();
-    mUnansweredPromotions.clear();
+  const bool isExpired = aContext.Now() >= mPendingUntil;
+  if (aRecord.mPhase == failover_phase::Complete && isExpired) {
+    // Repetitions of the command that made it the leader.
+    std::erase(mRecord.mPossibleLeaders, aRecord.mLeader);
+    std::erase(mUnansweredPromotions, aRecord.mLeader);
   }
   mRecord.mPhase = failover_phase::InProgress;
   mRecord.mCommitsStopped = false;
@@ -126,6 +121,13 @@
     return false;
   }
   while (MayContinue()) {
+    if (const auto leader = FindCommandedLeader()) {
+      return Complete(*leader);
+    }
+    if (MustAwaitEarlierCommand()) {
+      mContext.mLoop.Sleep(mContext.mSettings.mLeaderRetryDelay);
+      continue;
+    }
     const auto chosen = PrepareNextLeader();
     if (!chosen) {
       mContext.mLoop.Sleep(mContext.mSettings.mLeaderRetryDelay);
@@ -140,16 +142,94 @@
       continue;
     }
     if (SendPromotion(*chosen)) {
-      if (!CompleteRecord(*chosen)) {
-        return false;
-      }
-      AwaitPromotion(*chosen);
-      return true;
+      return Complete(*chosen);
     }
   }
   return false;
 }
 
+bool
+failover_attempt::Complete(const std::string& aLeader)
+{
+  if (!CompleteRecord(aLeader)) {
+    return false;
+  }
+  AwaitPromotion(aLeader);
+  return true;
+}
+
+bool
+failover_attempt::MustAwaitEarlierCommand()
+{
+  if (mContext.mSettings.mFencedPromotions ||
+      mRecord.mPossibleLeaders.empty()) {
+    return false;
+  }
+  if (Now() < mPendingUntil) {
+    if (!mHasLoggedWait) {
+      mHasLoggedWait = true;
+      Log(
+        log_level::Info,
+        "failover",
+        "Earlier promotion command has no response and may still be executed; "
+        "no other one is sent before it expires. service={} instances=[{}] "
+        "token={} remaining_ms={}",
+        mGroup.Service(),
+        fmt::join(mRecord.mPossibleLeaders, ","),
+        mRecord.mToken,
+        ToMilliseconds(mPendingUntil - Now()));
+    }
+    return true;
+  }
+  if (!mUnansweredPromotions.empty()) {
+    Log(
+      log_level::Info,
+      "failover",
+      "Earlier promotion command has expired; commits are stopped anew, since "
+      "it may have been executed. service={} instances=[{}] token={}",
+      mGroup.Service(),
+      fmt::join(mRecord.mPossibleLeaders, ","),
+      mRecord.mToken);
+    mUnansweredPromotions.clear();
+    mMembers.clear();
+    mStopRounds = 0;
+    mLeasesRevokedAt.reset();
+  }
+  return false;
+}
+
+std::optional<std::string>
+failover_attempt::FindCommandedLeader()
+{
+  const auto& possibleLeaders = mRecord.mPossibleLeaders;
+  const bool isSole = possibleLeaders.size() == 1;
+  if (possibleLeaders.empty() ||
+      (mContext.mSettings.mFencedPromotions && !isSole)) {
+    return std::nullopt;
+  }
+  const auto instance = mGroup.Find(possibleLeaders.back());
+  if (!instance) {
+    return std::nullopt;
+  }
+  const auto status =
+    mGroup.SendCommand(*instance, instance_command::Status, 0);
+  const bool leads =
+    status && status.value().mLeads && status.value().mTerm + 1 >= NextTerm();
+  if (!leads) {
+    return std::nullopt;
+  }
+  Log(
+    log_level::Info,
+    "failover",
+    "Instance of an earlier promotion command leads; the record is completed. "
+    "service={} instance={} term={} token={}",
+    mGroup.Service(),
+    possibleLeaders.back(),
+    status.value().mTerm,
+    mRecord.mToken);
+  return possibleLeaders.back();
+}
+
 bool
 failover_attempt::MayContinue() const
 {
@@ -308,14 +388,23 @@
   return false;
 }
 
+bool
+failover_attempt::MustPauseFormerLeader(const failover_member& aMember) const
+{
+  return aMember.mId == mPrimary && aMember.mStopped &&
+         aMember.mPausedTerm == 0 && !mRecord.mPossibleLeaders.empty();
+}
+
 void
 failover_attempt::SendStopCommands()
 {
   const term_number next = NextTerm();
   const bool isPlanned = mReason == failover_reason::Leaving;
   const auto commandFor = [this](const upstream_instance& aInstance) {
-    return aInstance.mEntry.mId == mPrimary ? instance_command::StepDown
-                                            : instance_command::Pause;
+    const std::string& id = aInstance.mEntry.mId;
+    return id == mPrimary && !MustPauseFormerLeader(MemberOf(id))
+             ? instance_command::StepDown
+             : instance_command::Pause;
   };
   std::vector<std::shared_ptr<upstream_instance>> pending;
   for (const auto& instance : mGroup.Instances()) {
@@ -325,7 +414,7 @@
     // In an unplanned failover the first round skips the leader: a lost one
     // would only cost the time-out, and pausing the replicas may be enough.
     const bool isTarget = isPrimary ? isPlanned || mStopRounds > 0 : !isPlanned;
-    if (!member.mStopped && isTarget) {
+    if ((!member.mStopped && isTarget) || MustPauseFormerLeader(member)) {
       pending.push_back(instance);
     }
   }
@@ -368,7 +457,8 @@
       mPrimary = member.mId;
     }
     member.mStopped = !isPause && !status.mLeads && hasLog;
-    member.mPausedTerm = isPause ? status.mPausedTerm : 0;
+    // A pause does not stop a leader.
+    member.mPausedTerm = isPause && !status.mLeads ? status.mPausedTerm : 0;
     member.mTerm = status.mTerm;
     member.mPosition = status.mReceived;
     member.mStartedAt = aInstance.mEntry.mStartedAt;
@@ -462,20 +552,6 @@
            mMembers, mPrimary, mGroup.Declared().mSyncReplicas, mayHaveLost);
 }
 
-bool
-failover_attempt::HasPendingPromotionOfOther(const std::string& aChosen) const
-{
-  const session_settings& settings = mContext.mSettings;
-  const bool isRecent =
-    Now() < mLastUnansweredAt + settings.mUnansweredCommandLifetime;
-  return !settings.mFencedPromotions && isRecent &&
-         std::any_of(mUnansweredPromotions.begin(),
-                     mUnansweredPromotions.end(),
-                     [&aChosen](const std::string& aPending) {
-                       return aPending != aChosen;
-                     });
-}
-
 std::optional<std::string>
 failover_attempt::ChooseCandidate() const
 {
@@ -501,13 +577,12 @@
     std::erase_if(others, [this](const failover_member& aMember) {
       return aMember.mId == mPrimary;
     });
-    chosen = ChooseNextLeader(others, mPrimary, inherited);
+    chosen =
+      ChooseNextLeader(others, mPrimary, inherited, mRecord.mPossibleLeaders);
   }
   if (!chosen) {
-    chosen = ChooseNextLeader(mMembers, mPrimary, inherited);
-  }
-  if (chosen && HasPendingPromotionOfOther(*chosen)) {
-    return std::nullopt;
+    chosen =
+      ChooseNextLeader(mMembers, mPrimary, inherited, mRecord.mPossibleLeaders);
   }
   return chosen;
 }
@@ -578,7 +653,8 @@
 bool
 failover_attempt::IsStillEligible(const std::string& aChosen)
 {
-  if (FindSoleCommandedInstance(mRecord.mPossibleLeaders) == aChosen) {
+  if (mContext.mSettings.mFencedPromotions &&
+      FindSoleCommandedInstance(mRecord.mPossibleLeaders) == aChosen) {
     // The earlier promotion command may be executed whatever its status is.
     return true;
   }
@@ -654,65 +730,29 @@
 {
   const session_settings& settings = mContext.mSettings;
   auto& possibleLeaders = mRecord.mPossibleLeaders;
-  if (std::find(possibleLeaders.begin(), possibleLeaders.end(), aChosen) ==
-      possibleLeaders.end()) {
-    possibleLeaders.push_back(aChosen);
-  }
-  // The record names the instance before the command is sent, and the write
-  // yields a new token.
-  const time_point writtenAt = Now();
+  std::erase(possibleLeaders, aChosen);
+  possibleLeaders.push_back(aChosen);
+  // The record names the instance and the token before the command is sent.
+  mRecord.mToken = NextFencingToken(mRecord);
+  const time_point sendBy = Now() + settings.mPromotionSendWindow;
   if (!WriteRecord()) {
     mDeadline = Now();
     return false;
   }
-  if (Now() - writtenAt > settings.mStoreTimeout + kMaxTokenDelay) {
-    Log(log_level::Info,
-        "failover",
-        "Fencing token too old after a slow record write; attempt retries. "
-        "service={} token={}",
-        mGroup.Service(),
-        FencingToken(mRecord.mVersion));
-    return false;
-  }
-  const promotion_request request{
-    mGroup.Service(), aChosen, mContext.Name(), FencingToken(mRecord.mVersion)
-  };
-  mContext.mMetrics.mPromotions.Increment();
-  const time_point startedAt = Now();
-  const promotion_outcome end =
-    mContext.mPorts.mPromotions.Promote(request, settings.mPromoteTimeout);
-  Log(log_level::Info,
-      "failover",
-      "Promotion command finished; end is 0 accepted, 1 refused, 2 not "
-      "executed, 3 no response. service={} instance={} token={} end={} "
-      "record_write_ms={} taken_ms={}",
-      request.mService,
-      request.mInstance,
-      request.mFencingToken,
-      static_cast<int>(end),
-      ToMilliseconds(startedAt - writtenAt),
-      ToMilliseconds(Now() - startedAt));
-  if (end == promotion_outcome::Unknown) {
-    mContext.mMetrics.mUnansweredPromotions.Increment();
-  }
+  const promotion_outcome end = CommandPromotion(
+    { mGroup.Service(), aChosen, mContext.Name(), mRecord.mToken, sendBy });
   if (end == promotion_outcome::Accepted) {
     return true;
   }
-  if (end == promotion_outcome::Unknown) {
-    mUnansweredPromotions.push_back(aChosen);
-    mLastUnansweredAt = Now();
-    mContext.mLoop.Sleep(kPromotionRetryDelay);
-    return false;
-  }
   if (end == promotion_outcome::Refused && settings.mFencedPromotions) {
     // The platform has seen this token and will refuse the earlier command too.
     std::erase(mUnansweredPromotions, aChosen);
   }
-  const bool isUnanswered = std::find(mUnansweredPromotions.begin(),
-                                      mUnansweredPromotions.end(),
-                                      aChosen) != mUnansweredPromotions.end();
-  if (!isUnanswered) {
+  if (!IsUnanswered(aChosen)) {
     std::erase(possibleLeaders, aChosen);
+  } else if (!settings.mFencedPromotions) {
+    mPendingUntil = sendBy + settings.mUnansweredCommandLifetime;
+    mDeadline = mPendingUntil + kMaxAttemptDuration;
   }
   if (end == promotion_outcome::Refused) {
     // The instance is not running, or another attempt is newer: its status must
@@ -725,6 +765,58 @@
   return false;
 }
 
+promotion_outcome
+failover_attempt::CommandPromotion(const promotion_request& aRequest)
+{
+  while (true) {
+    const promotion_outcome end = CommandPromotionOnce(aRequest);
+    if (end == promotion_outcome::Unknown &&
+        !IsUnanswered(aRequest.mInstance)) {
+      mUnansweredPromotions.push_back(aRequest.mInstance);
+    }
+    const bool isRepeated = end == promotion_outcome::NotExecuted ||
+                            (end == promotion_outcome::Unknown &&
+                             !mContext.mSettings.mFencedPromotions);
+    const bool isInTime = Now() + kPromotionRetryDelay < aRequest.mSendBy;
+    if (!isRepeated || !isInTime || !MayContinue()) {
+      return end;
+    }
+    mContext.mLoop.Sleep(kPromotionRetryDelay);
+  }
+}
+
+promotion_outcome
+failover_attempt::CommandPromotionOnce(const promotion_request& aRequest)
+{
+  mContext.mMetrics.mPromotions.Increment();
+  const time_point startedAt = Now();
+  const promotion_outcome end = mContext.mPorts.mPromotions.Promote(
+    aRequest, mContext.mSettings.mPromoteTimeout);
+  Log(log_level::Info,
+      "failover",
+      "Promotion command finished; end is 0 accepted, 1 refused, 2 not "
+      "executed, 3 no response. service={} instance={} token={} end={} "
+      "send_window_left_ms={} taken_ms={}",
+      aRequest.mService,
+      aRequest.mInstance,
+      aRequest.mFencingToken,
+      static_cast<int>(end),
+      ToMilliseconds(aRequest.mSendBy - Now()),
+      ToMilliseconds(Now() - startedAt));
+  if (end == promotion_outcome::Unknown) {
+    mContext.mMetrics.mUnansweredPromotions.Increment();
+  }
+  return end;
+}
+
+bool
+failover_attempt::IsUnanswered(const std::string& aInstance) const
+{
+  return std::find(mUnansweredPromotions.begin(),
+                   mUnansweredPromotions.end(),
+                   aInstance) != mUnansweredPromotions.end();
+}
+
 bool
 failover_attempt::CompleteRecord(const std::string& aLeader)
 {
--- a/Source/Sessions/clFailoverAttempt.h
+++ b/Source/Sessions/clFailoverAttempt.h
@@ -48,18 +48,26 @@
 class failover_attempt
 {
 public:
-  /// aRecord is the record to replace; this proxy first read it at
-  /// aRecordSince.
+  /// aRecord is the record to replace; the promotion command that it names may
+  /// be executed until aPendingUntil, empty if it names none.
   failover_attempt(session_context& aContext,
                    upstream_group& aGroup,
                    failover_reason aReason,
                    const failover_record& aRecord,
-                   time_point aRecordSince);
+                   std::optional<time_point> aPendingUntil);
 
   /// Runs in a fiber.  True if a leader was promoted and recorded.
   bool Run();
 
 private:
+  /// True while the platform, which does not check fencing tokens, may still
+  /// execute an earlier command: no other one may be sent.
+  bool MustAwaitEarlierCommand();
+  /// The instance of the newest command, if it leads: the command was executed,
+  /// and no other one can be.
+  std::optional<std::string> FindCommandedLeader();
+  /// Completes the record and waits until the new leader leads.
+  bool Complete(const std::string& aLeader);
   /// True before the deadline and while no other proxy has claimed the record.
   bool MayContinue() const;
   /// Writes the record by compare-and-set; false if another proxy has changed
@@ -72,6 +80,9 @@
   void LogNoCandidate();
   bool StopCommits();
   void SendStopCommands();
+  /// True if aMember is the former leader, has stepped down, and may receive
+  /// the commits of an instance whose promotion was commanded.
+  bool MustPauseFormerLeader(const failover_member& aMember) const;
   void RecordStopResponse(upstream_instance& aInstance,
                           instance_command aCommand,
                           term_number aTerm,
@@ -108,12 +119,16 @@
   /// True if the leader's commits are stuck and the replicas together have
   /// every acknowledged commit, so that one of them can be chosen.
   bool CanExcludePrimary() const;
-  /// True if an unanswered promotion command for another instance may still be
-  /// executed, because the platform does not check fencing tokens.
-  bool HasPendingPromotionOfOther(const std::string& aChosen) const;
   /// Writes the record with the chosen instance, which yields a new fencing
   /// token, and sends the promotion command.  True if it was accepted.
   bool SendPromotion(const std::string& aChosen);
+  /// Sends the command until it is answered, as long as it may be sent.
+  /// Repetitions have the same token: a platform that does not check tokens may
+  /// receive them in any order.  If the platform checks tokens, a command
+  /// without a response is not repeated, since a newer token cancels it.
+  promotion_outcome CommandPromotion(const promotion_request& aRequest);
+  promotion_outcome CommandPromotionOnce(const promotion_request& aRequest);
+  bool IsUnanswered(const std::string& aInstance) const;
   /// Writes the record as complete, with retries.  Also true if another proxy
   /// has written a newer record with the same leader.
   bool CompleteRecord(const std::string& aLeader);
@@ -138,8 +153,10 @@
   std::vector<failover_member> mMembers;
   /// Instances whose promotion command got no response.
   std::vector<std::string> mUnansweredPromotions;
-  /// Latest time at which one of those commands may have been sent.
-  time_point mLastUnansweredAt;
+  /// Time until which they may be executed by a platform that does not check
+  /// tokens.
+  time_point mPendingUntil;
+  bool mHasLoggedWait = false;
   /// Rounds of stop commands sent so far.
   std::uint32_t mStopRounds = 0;
   time_point mCommitsStoppedAt;
--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -47,6 +47,7 @@
       continue;
     }
     for (const auto& [service, group] : mContext.mGroups) {
+      TrackPendingCommand(*group, now);
       const bool declared =
         mContext.mDesired && mContext.mDesired->mServices.count(service) > 0;
       if (declared && IsDirectoryComplete(*group, now)) {
@@ -56,6 +57,16 @@
   }
 }
 
+void
+failover_runner::TrackPendingCommand(upstream_group& aGroup, time_point aNow)
+{
+  const session_settings& settings = mContext.mSettings;
+  mCheckStates[aGroup.Service()].mPendingCommand.OnRecord(
+    aGroup.Leadership().Record(),
+    aNow,
+    settings.mPromotionSendWindow + settings.mUnansweredCommandLifetime);
+}
+
 bool
 failover_runner::IsDirectoryComplete(const upstream_group& aGroup,
                                      time_point aNow) const
@@ -177,6 +188,12 @@
   if (record.mPhase == failover_phase::InProgress) {
     return failover_reason::Unfinished;
   }
+  // No command for another leader may be sent yet, and the present one may
+  // still be all right.
+  if (!settings.mFencedPromotions &&
+      aCheckState.mPendingCommand.IsPendingAt(aNow)) {
+    return std::nullopt;
+  }
   if (aGroup.Leadership().Leader().empty() || aGroup.Instances().empty()) {
     return std::nullopt;
   }
@@ -203,13 +220,18 @@
   // The attempt replaces the record as of now: another proxy may start an
   // attempt while this one confirms the failure.
   const failover_record record = aGroup.Leadership().NextRecord();
-  const time_point since = mCheckStates[aGroup.Service()].mRecordSeenSince;
-  mContext.mLoop.Spawn([this, &aGroup, aReason, record, since] {
+  mContext.mLoop.Spawn([this, &aGroup, aReason, record] {
     const bool confirmed = ConfirmReason(aGroup, aReason);
     const bool unchanged =
       aGroup.Leadership().Record().mVersion == record.mVersion;
     if (confirmed && unchanged) {
-      failover_attempt attempt(mContext, aGroup, aReason, record, since);
+      TrackPendingCommand(aGroup, mContext.Now());
+      failover_attempt attempt(
+        mContext,
+        aGroup,
+        aReason,
+        record,
+        mCheckStates[aGroup.Service()].mPendingCommand.Until());
       const bool done = attempt.Run();
       Log(log_level::Info,
           "failover",
--- a/Source/Sessions/clFailoverRunner.h
+++ b/Source/Sessions/clFailoverRunner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "clFailoverAttempt.h"
+#include "clPendingCommand.h"
 #include "clSessionContext.h"
 
 #include <map>
@@ -29,9 +30,11 @@
     /// Newest version of the record, and when it was first seen.
     record_version mSeenRecordVersion{};
     time_point mRecordSeenSince;
+    pending_command mPendingCommand;
   };
 
   void CheckGroup(upstream_group& aGroup, time_point aNow);
+  void TrackPendingCommand(upstream_group& aGroup, time_point aNow);
   /// True if the directory lists every running instance of the group: no entry
   /// expired during a store outage, or the instances have had time to register
   /// again.
--- a/Source/Sessions/clSessionSettings.h
+++ b/Source/Sessions/clSessionSettings.h
@@ -108,6 +108,9 @@
   /// The platform refuses a promotion whose fencing token is older than the
   /// newest that it has seen.
   bool mFencedPromotions = true;
+  /// Time after the write of a record in which the promotion command that it
+  /// names may be sent.
+  milliseconds mPromotionSendWindow{ 1500 };
   /// Time for which a promotion command without a response may still be
   /// executed.  Used only if the platform does not check fencing tokens.
   milliseconds mUnansweredCommandLifetime{ 10000 };
--- a/Specification/failover.pml
+++ b/Specification/failover.pml
@@ -6,8 +6,9 @@
  * that becomes leader, and no replaced leader acknowledges a commit.  A proxy
  * may stop for any time between two of its steps.  A command may get no
  * response and be executed at any later moment, also after newer ones.  By
- * default the platform refuses commands with an older token; with UNFENCED
- * only the proxies check tokens.  An instance may restart without its log
+ * default the platform refuses commands with an older token; with UNFENCED it
+ * executes every command, and must receive no token below an earlier one.  An
+ * instance may restart without its log
  * (MAX_RESTARTS).  Instances that are isolated or failed take no step.
  *
  * Each mutant leaves out one guard; see Utilities/check-model.
@@ -103,6 +104,9 @@
 }
 
 inline execute_promotion(c, token) {
+#ifdef UNFENCED
+  assert(token >= newest_token);
+#endif
   if
 #ifndef UNFENCED
   :: token < newest_token -> skip
@@ -201,6 +205,12 @@
        log_end[i] = 0; has_commit[i] = false; paused_term[i] = 0; term[i] = 0;
        log_lost[i] = true; i = 0
      }
+#ifdef UNFENCED
+  /* A command that got no response is never executed. */
+  :: atomic { pending_token[0] != 0 -> pending_token[0] = 0 }
+  :: atomic { pending_token[1] != 0 -> pending_token[1] = 0 }
+  :: atomic { pending_token[2] != 0 -> pending_token[2] = 0 }
+#endif
   /* A command that got no response is executed late. */
   :: atomic {
        pending_token[0] != 0 -> i = pending_token[0]; pending_token[0] = 0;
@@ -230,6 +240,13 @@
           fi;
           if
           :: !leads[i] && !log_lost[i] -> stopped = stopped | (1 << i)
+          :: else
+          fi;
+          if
+#ifndef MUTANT_NO_PAUSE
+          :: (!leads[i] && possible_leaders != 0) ->
+             paused_term[i] = target_term
+#endif
           :: else
           fi
        :: else ->
@@ -256,6 +273,23 @@
     (i != primary && paused_term[i] >= target_term && \
      log_end[i] == reported_end[i]))
 
+/* The lifetime of the commands that the record names has ended.  The time that
+ * the proxies wait covers the time for which a command may be sent, and that for
+ * which it may be executed without a response. */
+#define IS_EXPIRED \
+    (pending_token[0] == 0 && pending_token[1] == 0 && pending_token[2] == 0)
+
+/* Instance j may have been promoted by an expired command, and one that is not
+ * paused may receive its commits. */
+#define OTHER_MAY_LEAD(j) \
+    ((possible_leaders & (1 << j)) != 0 && chosen != j && \
+     ((stopped | removed) | (1 << j)) != 7)
+
+/* One that did not respond may have led after the record's leader, which then
+ * lacks its commits. */
+#define HAS_UNSTOPPED_POSSIBLE_LEADER \
+    ((possible_leaders & (7 - stopped) & (7 - (1 << primary))) != 0)
+
 proctype Promoter() {
   byte own_revision, target_term, stopped, chosen, i, primary, best_end,
        unavailable;
@@ -264,7 +298,11 @@
   do
   :: atomic {
        /* Claim the record by compare-and-set of its revision. */
+#if defined(UNFENCED) && !defined(MUTANT_NO_WAIT)
+       (revision < MAX_REVISION && (possible_leaders == 0 || IS_EXPIRED)) ->
+#else
        revision < MAX_REVISION ->
+#endif
        revision = revision + 1; own_revision = revision; in_progress = true;
        primary = leader; stopped = 0; may_lack_commits = false;
        is_newest_term = true;
@@ -306,6 +344,18 @@
           i = 0
        :: else
        fi;
+#if defined(UNFENCED) && !defined(MUTANT_ANY_CANDIDATE)
+       /* An expired command may have been executed. */
+       if
+       :: (chosen != NO_INSTANCE &&
+           (OTHER_MAY_LEAD(0) || OTHER_MAY_LEAD(1) || OTHER_MAY_LEAD(2)
+#ifndef MUTANT_FORMER_PRIMARY
+            || (may_lack_commits && HAS_UNSTOPPED_POSSIBLE_LEADER)
+#endif
+           )) -> chosen = NO_INSTANCE
+       :: else
+       fi;
+#endif
        unavailable = 0
      }
      if
@@ -313,14 +363,11 @@
         d_step {
           /* A command without a response may still be executed.  If the
            * platform checks tokens, the same instance is commanded again,
-           * which invalidates the earlier command; otherwise no other instance
-           * is selected. */
+           * which invalidates the earlier command. */
           if
 #ifndef MUTANT_ANY_CANDIDATE
+#ifndef UNFENCED
           :: (possible_leaders != 0 && possible_leaders != (1 << chosen)) ->
-#ifdef UNFENCED
-             chosen = NO_INSTANCE
-#else
              chosen = (possible_leaders == 1 -> 0 :
                        (possible_leaders == 2 -> 1 : 2));
              best_end = floor
--- a/Tests/Decisions/clFailoverPlanTest.cxx
+++ b/Tests/Decisions/clFailoverPlanTest.cxx
@@ -25,6 +25,12 @@
     Member(aId).mPosition = aPosition;
   }
 
+  void Pause(const std::string& aId, log_position aPosition)
+  {
+    Stop(aId, aPosition);
+    Member(aId).mPausedTerm = aPosition.mTerm + 1;
+  }
+
   bool IsStopped() const
   {
     return IsEveryCommitStopped(mMembers, "a", mPossibleLeaders, 1);
@@ -67,10 +73,36 @@
   Stop("a", { 1, 5 });
   Stop("b", { 1, 5 });
   CHECK_FALSE(IsStopped());
-  Stop("c", { 1, 5 });
+  Pause("c", { 1, 5 });
+  CHECK_FALSE(IsStopped());
+  Pause("a", { 1, 5 });
   CHECK(IsStopped());
 }
 
+// Found by the model for issue 34: a former primary that stepped down received
+// the commits of the instance that was promoted late, and counted as stopped.
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "stepped_down_primary_confirms_commits_of_possible_leader")
+{
+  mPossibleLeaders = { "b" };
+  Stop("a", { 1, 5 });
+  Pause("c", { 1, 5 });
+  CHECK_FALSE(IsStopped());
+}
+
+// Found by the model for issue 34: the former primary was chosen, although an
+// instance promoted late had acknowledged commits with a replica that was lost.
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "choice_after_unknown_loss_awaits_possible_leader")
+{
+  mInherited.mOnlyPrimaryHasAll = true;
+  mPossibleLeaders = { "b" };
+  Stop("a", { 1, 5 });
+  CHECK_FALSE(ChooseNextLeader(mMembers, "a", mInherited, mPossibleLeaders));
+  Stop("b", { 2, 6 });
+  CHECK(ChooseNextLeader(mMembers, "a", mInherited, mPossibleLeaders) == "b");
+}
+
 TEST_CASE_FIXTURE(failover_plan_fixture,
                   "stop_of_primary_with_own_pending_promotion_is_ignored")
 {
--- a/Tests/Processes/test_promotion_commands.py
+++ b/Tests/Processes/test_promotion_commands.py
@@ -1,5 +1,6 @@
 """Promotion commands that arrive late, on a platform that checks no tokens."""
 
+import base64
 import json
 import signal
 import threading
@@ -204,12 +205,34 @@
         """Each proxy that took the attempt over began the lifetime of the
         unanswered command anew."""
         self.fleet.promotion_responses_to_drop = 1
-        self.crash_leader()
+        first = self.crash_leader()
         wait_until(self.fleet.leader_is_up)
+        self.fleet.run(first.restart())
+        wait_until(lambda: first.log == self.fleet.leader().log)
         self.crash_leader()
         wait_until(self.fleet.leader_is_up, MAX_COMMAND_AGE_S + MAX_RECOVERY_S)
         self.assert_tokens_never_fall()
 
 
+class CommandedLeaderTest(PromotionCommandCase):
+    def test_command_executed_without_response_is_not_repeated(self):
+        """A proxy that takes over finds that the instance of the former holder's
+        command leads, and completes the record without a command."""
+        holders = self.on_next_command(
+            lambda holder: self.api_relays[holder].blocked_directions.add(
+                TARGET_TO_CLIENT))
+        self.crash_leader()
+        wait_until(lambda: self.fleet.promotions)
+        self.proxy(holders[0]).process.kill()
+        wait_until(self.is_record_complete, MAX_RECOVERY_S)
+        self.assertEqual({holder for holder, _, _
+                          in self.fleet.promotion_arrivals}, {holders[0]})
+
+    def is_record_complete(self):
+        item = self.fleet.store.items[FAILOVER_RECORD]
+        record = json.loads(base64.b64decode(item["value"]))
+        return not record["contested"]
+
+
 if __name__ == "__main__":
     unittest.main()
