failover: a proxy that can't command a promotion releases the record

What callers saw: no leader, although five of six proxies reach the management API: a holder that does not reach it, but the store, began attempt after attempt. Each renewed its claim, so that the others never took over.

Change: a command that was not executed is repeated under its token while it may be sent; then the record is written without it and without a holder, so that any other proxy claims it at once, and this one pauses its checks for a holder's lease.

--- a/Source/Sessions/clFailoverAttempt.cxx
+++ b/Source/Sessions/clFailoverAttempt.cxx
@@ -754,6 +754,10 @@
     mPendingUntil = sendBy + settings.mUnansweredCommandLifetime;
     mDeadline = mPendingUntil + kMaxAttemptDuration;
   }
+  if (end == promotion_outcome::NotExecuted && !IsUnanswered(aChosen)) {
+    YieldRecord();
+    return false;
+  }
   if (end == promotion_outcome::Refused) {
     // The instance is not running, or another attempt is newer: its status must
     // be queried again.
@@ -765,6 +769,21 @@
   return false;
 }
 
+void
+failover_attempt::YieldRecord()
+{
+  Log(log_level::Info,
+      "failover",
+      "Management API accepted no command; the record is released, so that "
+      "another proxy takes over at once. service={} token={}",
+      mGroup.Service(),
+      mRecord.mToken);
+  mRecord.mHolder.clear();
+  mRecord.mCommitsStopped = false;
+  mHasYielded = WriteRecord();
+  mDeadline = Now();
+}
+
 promotion_outcome
 failover_attempt::CommandPromotion(const promotion_request& aRequest)
 {
--- a/Source/Sessions/clFailoverAttempt.h
+++ b/Source/Sessions/clFailoverAttempt.h
@@ -59,6 +59,10 @@
   /// Runs in a fiber.  True if a leader was promoted and recorded.
   bool Run();
 
+  /// True if it released the record: this proxy does not reach the management
+  /// API, or the API accepts no commands.
+  bool HasYielded() const { return mHasYielded; }
+
 private:
   /// True while the platform, which does not check fencing tokens, may still
   /// execute an earlier command: no other one may be sent.
@@ -122,6 +126,8 @@
   /// Writes the record with the chosen instance, which yields a new fencing
   /// token, and sends the promotion command.  True if it was accepted.
   bool SendPromotion(const std::string& aChosen);
+  /// Releases the record, which then names no command and no holder.
+  void YieldRecord();
   /// Sends the command until it is answered, as long as it may be sent.
   /// Repetitions have the same token: a platform that does not check tokens may
   /// receive them in any order.  If the platform checks tokens, a command
@@ -164,6 +170,7 @@
   std::optional<time_point> mLeasesRevokedAt;
   time_point mDeadline;
   bool mHasLoggedNoCandidate = false;
+  bool mHasYielded = false;
 };
 
 } // namespace catkinloom
--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -221,6 +221,7 @@
   // attempt while this one confirms the failure.
   const failover_record record = aGroup.Leadership().NextRecord();
   mContext.mLoop.Spawn([this, &aGroup, aReason, record] {
+    milliseconds suspension = kCheckSuspension;
     const bool confirmed = ConfirmReason(aGroup, aReason);
     const bool unchanged =
       aGroup.Leadership().Record().mVersion == record.mVersion;
@@ -233,6 +234,9 @@
         record,
         mCheckStates[aGroup.Service()].mPendingCommand.Until());
       const bool done = attempt.Run();
+      if (attempt.HasYielded()) {
+        suspension = mContext.mSettings.mHolderLease;
+      }
       Log(log_level::Info,
           "failover",
           "Failover attempt finished; checks of the group resume. service={} "
@@ -242,7 +246,7 @@
     }
     group_check_state& checkState = mCheckStates[aGroup.Service()];
     checkState.mIsAttemptRunning = false;
-    checkState.mChecksSuspendedUntil = mContext.Now() + kCheckSuspension;
+    checkState.mChecksSuspendedUntil = mContext.Now() + suspension;
   });
 }
 
--- a/Tests/Processes/test_promotion_commands.py
+++ b/Tests/Processes/test_promotion_commands.py
@@ -213,6 +213,16 @@
         wait_until(self.fleet.leader_is_up, MAX_COMMAND_AGE_S + MAX_RECOVERY_S)
         self.assert_tokens_never_fall()
 
+    def test_holder_without_platform_leaves_promotion_to_another(self):
+        """A proxy that reaches the store but not the platform kept the record
+        for itself, again and again."""
+        refused = self.on_next_command(
+            lambda holder: self.api_relays[holder].server.close())
+        self.crash_leader()
+        wait_until(self.fleet.leader_is_up, MAX_RECOVERY_S)
+        self.assertNotEqual(self.fleet.promotions[-1][0], refused[0])
+        self.assert_tokens_never_fall()
+
 
 class CommandedLeaderTest(PromotionCommandCase):
     def test_command_executed_without_response_is_not_repeated(self):
