directory: an entry with an unusable address or number of slots names no instance

Neither happens here: entries nested 100,000 deep, with numbers too large and with bytes that can't be read were rejected, and the list was followed (tests added, passing before). But an entry whose port is out of range, or that has none, counted as a member of its group, one that never answers: no lost leader was replaced for as long as the entry was there.

--- a/Tests/Platform/clJsonDirectoryCodecTest.cxx
+++ b/Tests/Platform/clJsonDirectoryCodecTest.cxx
@@ -88,3 +88,51 @@
   CHECK_FALSE(mCodec.DecodeInstance(
     "i-1", Replaced(kEntry, "\"db_role\":\"replica\",", "")));
 }
+
+// Issue 34: an entry whose port is out of range counted as a member of its
+// group, one that never answers, so that no leader of the group was replaced.
+TEST_CASE_FIXTURE(json_directory_codec_fixture,
+                  "instance_entry_with_unusable_address_is_rejected")
+{
+  for (const std::string address :
+       { "10.1.1.1:99999", "10.1.1.1:0", "10.1.1.1", "host:80", ":80", "" }) {
+    CAPTURE(address);
+    CHECK_FALSE(
+      mCodec.DecodeInstance("i-1", Replaced(kEntry, "10.1.1.1:80", address)));
+  }
+}
+
+TEST_CASE_FIXTURE(json_directory_codec_fixture,
+                  "instance_entry_with_number_out_of_range_is_rejected")
+{
+  for (const std::string number : { "0",
+                                    "-1",
+                                    "1.5",
+                                    "1e400",
+                                    "1e30",
+                                    "4294967296",
+                                    "99999999999999999999999999",
+                                    "4294967295" }) {
+    CAPTURE(number);
+    CHECK_FALSE(mCodec.DecodeInstance(
+      "i-1", Replaced(kEntry, "\"slots\":3", "\"slots\":" + number)));
+  }
+  for (const std::string number :
+       { "1e400", "1e30", "1700000000000.5", "99999999999999999999999999" }) {
+    CAPTURE(number);
+    CHECK_FALSE(
+      mCodec.DecodeInstance("i-1", Replaced(kEntry, "1700000000000", number)));
+  }
+}
+
+TEST_CASE_FIXTURE(json_directory_codec_fixture,
+                  "instance_entry_nested_deeply_is_rejected")
+{
+  constexpr std::size_t kDepth = 100000;
+  const std::string nested =
+    std::string(kDepth, '[') + std::string(kDepth, ']');
+  CHECK_FALSE(mCodec.DecodeInstance("i-1", nested));
+  CHECK_FALSE(mCodec.DecodeInstance(
+    "i-1", Replaced(kEntry, "\"seq\":4", "\"seq\":" + nested)));
+  CHECK_FALSE(mCodec.DecodeDesiredState(nested));
+}
