--- a/Source/Daemon/clPlatformClient.cxx
+++ b/Source/Daemon/clPlatformClient.cxx
@@ -140,9 +140,10 @@
       row.is_object() ? row.get_object().if_contains("name") : nullptr;
     const auto* state =
       row.is_object() ? row.get_object().if_contains("state") : nullptr;
+    // One row that can't be read must not hide the others.
     if (name == nullptr || !name->is_string() || state == nullptr ||
         !state->is_string()) {
-      return MalformedResponse();
+      continue;
     }
     vms.push_back(
       { std::string(name->get_string()), state->get_string() == "leaving" });
--- a/Tests/Processes/test_failover.py
+++ b/Tests/Processes/test_failover.py
@@ -83,6 +83,16 @@
         self.assertEqual(self.count_log_entries("a"), 1)
         self.assertEqual(self.count_log_entries("c"), 1)
 
+    # Issue 34: one unreadable row of the list of VMs hid all others.
+    def test_leaving_primary_listed_beside_odd_rows_hands_over(self):
+        old_primary = self.site.primary(0)
+        self.site.admin("platform",
+                        vms=[{"name": 5, "state": "leaving"}, [], {},
+                             {"name": old_primary, "state": "leaving"}])
+        self.site.wait_until(
+            lambda: self.site.primary(0) not in ("", old_primary),
+            "another instance is primary")
+
     def test_leaving_primary_hands_over_and_receives_no_requests(self):
         old_primary = self.site.primary(0)
         self.site.admin("platform",
