failover: a command that its issuer has withdrawn is not waited for

So would it if the record could not be written without a refused command.

Change: the record names the command's issuer beside the token, since another proxy may have used the same token on the same version; the process that issued a command remembers that it was not sent, or refused. A restarted process does not, and waits. A platform that rejects commands beyond its rate is tested too.

--- a/Source/Decisions/clLeadership.cxx
+++ b/Source/Decisions/clLeadership.cxx
@@ -27,7 +27,7 @@
 std::uint64_t
 NextFencingToken(const failover_record& aRecord)
 {
-  return std::max(aRecord.mToken, FencingToken(aRecord.mVersion)) + 1;
+  return std::max(aRecord.mCommand.mToken, FencingToken(aRecord.mVersion)) + 1;
 }
 
 std::optional<std::size_t>
--- a/Source/Decisions/clLeadership.h
+++ b/Source/Decisions/clLeadership.h
@@ -21,6 +21,17 @@
   InProgress,
 };
 
+/// Identifies a promotion command and its repetitions.
+struct command_id
+{
+  /// Fencing token; 0 if there was no command.
+  std::uint64_t mToken = 0;
+  /// Proxy that issued it.
+  std::string mIssuer;
+
+  bool operator==(const command_id&) const = default;
+};
+
 /// The coordination store's record of a group's leader.  Every promotion is
 /// written to it before it is commanded.
 struct failover_record
@@ -45,8 +56,8 @@
   /// Instances whose promotion was commanded and may have taken effect, or may
   /// still do so; that of the newest command is the last one.
   std::vector<std::string> mPossibleLeaders;
-  /// Fencing token of the newest promotion command; 0 if there was none.
-  std::uint64_t mToken = 0;
+  /// The newest promotion command.
+  command_id mCommand;
 
   bool operator==(const failover_record&) const = default;
 
--- a/Source/Decisions/clPendingCommand.h
+++ b/Source/Decisions/clPendingCommand.h
@@ -3,8 +3,9 @@
 #include "clClock.h"
 #include "clLeadership.h"
 
-#include <cstdint>
+#include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace catkinloom {
 
@@ -20,7 +21,7 @@
 {
 public:
   /// The record is known at aNow; a command that it names for the first time
-  /// may be executed for aLifetime from then.
+  /// may be executed for aLifetime from then, unless it was withdrawn.
   void OnRecord(const failover_record& aRecord,
                 time_point aNow,
                 milliseconds aLifetime)
@@ -29,13 +30,27 @@
       mUntil.reset();
       return;
     }
-    // A record of an older build has no token; its version changes more often.
-    const std::uint64_t token =
-      aRecord.mToken != 0 ? aRecord.mToken : FencingToken(aRecord.mVersion);
-    if (!mUntil || token != mToken) {
-      mToken = token;
-      mUntil = aNow + aLifetime;
+    command_id command = aRecord.mCommand;
+    if (command.mToken == 0) {
+      // A record of an older build; its version changes more often.
+      command.mToken = FencingToken(aRecord.mVersion);
     }
+    if (!mUntil || command != mCommand) {
+      const bool isWithdrawn = mWithdrawn == command;
+      mCommand = std::move(command);
+      mUntil = isWithdrawn ? aNow : aNow + aLifetime;
+    }
+  }
+
+  /// This process issued the command and knows that it is not executed: it was
+  /// never sent, or every time refused.  The record may name it all the same,
+  /// now or later, if its write got no response.
+  void OnWithdrawn(command_id aCommand, time_point aNow)
+  {
+    if (mUntil && aCommand == mCommand) {
+      mUntil = std::min(*mUntil, aNow);
+    }
+    mWithdrawn = std::move(aCommand);
   }
 
   /// Empty if the record names no command.
@@ -47,7 +62,8 @@
   }
 
 private:
-  std::uint64_t mToken = 0;
+  command_id mCommand;
+  std::optional<command_id> mWithdrawn;
   std::optional<time_point> mUntil;
 };
 
--- a/Source/Sessions/clFailoverAttempt.cxx
+++ b/Source/Sessions/clFailoverAttempt.cxx
@@ -176,7 +176,7 @@
         "token={} remaining_ms={}",
         mGroup.Service(),
         fmt::join(mRecord.mPossibleLeaders, ","),
-        mRecord.mToken,
+        mRecord.mCommand.mToken,
         ToMilliseconds(mPendingUntil - Now()));
     }
     return true;
@@ -189,7 +189,7 @@
       "it may have been executed. service={} instances=[{}] token={}",
       mGroup.Service(),
       fmt::join(mRecord.mPossibleLeaders, ","),
-      mRecord.mToken);
+      mRecord.mCommand.mToken);
     mUnansweredPromotions.clear();
     mMembers.clear();
     mStopRounds = 0;
@@ -226,7 +226,7 @@
     mGroup.Service(),
     possibleLeaders.back(),
     status.value().mTerm,
-    mRecord.mToken);
+    mRecord.mCommand.mToken);
   return possibleLeaders.back();
 }
 
@@ -733,14 +733,18 @@
   std::erase(possibleLeaders, aChosen);
   possibleLeaders.push_back(aChosen);
   // The record names the instance and the token before the command is sent.
-  mRecord.mToken = NextFencingToken(mRecord);
+  mRecord.mCommand = { NextFencingToken(mRecord), mContext.Name() };
   const time_point sendBy = Now() + settings.mPromotionSendWindow;
   if (!WriteRecord()) {
+    mWithdrawnCommand = mRecord.mCommand;
     mDeadline = Now();
     return false;
   }
-  const promotion_outcome end = CommandPromotion(
-    { mGroup.Service(), aChosen, mContext.Name(), mRecord.mToken, sendBy });
+  const promotion_outcome end = CommandPromotion({ mGroup.Service(),
+                                                   aChosen,
+                                                   mContext.Name(),
+                                                   mRecord.mCommand.mToken,
+                                                   sendBy });
   if (end == promotion_outcome::Accepted) {
     return true;
   }
@@ -749,6 +753,7 @@
     std::erase(mUnansweredPromotions, aChosen);
   }
   if (!IsUnanswered(aChosen)) {
+    mWithdrawnCommand = mRecord.mCommand;
     std::erase(possibleLeaders, aChosen);
   } else if (!settings.mFencedPromotions) {
     mPendingUntil = sendBy + settings.mUnansweredCommandLifetime;
@@ -777,7 +782,7 @@
       "Management API accepted no command; the record is released, so that "
       "another proxy takes over at once. service={} token={}",
       mGroup.Service(),
-      mRecord.mToken);
+      mRecord.mCommand.mToken);
   mRecord.mHolder.clear();
   mRecord.mCommitsStopped = false;
   mHasYielded = WriteRecord();
--- a/Source/Sessions/clFailoverAttempt.h
+++ b/Source/Sessions/clFailoverAttempt.h
@@ -63,6 +63,13 @@
   /// API, or the API accepts no commands.
   bool HasYielded() const { return mHasYielded; }
 
+  /// The newest command that it issued and that is not executed, although the
+  /// record may name it; see pending_command::OnWithdrawn.
+  const std::optional<command_id>& WithdrawnCommand() const
+  {
+    return mWithdrawnCommand;
+  }
+
 private:
   /// True while the platform, which does not check fencing tokens, may still
   /// execute an earlier command: no other one may be sent.
@@ -171,6 +178,7 @@
   time_point mDeadline;
   bool mHasLoggedNoCandidate = false;
   bool mHasYielded = false;
+  std::optional<command_id> mWithdrawnCommand;
 };
 
 } // namespace catkinloom
--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -234,6 +234,10 @@
         record,
         mCheckStates[aGroup.Service()].mPendingCommand.Until());
       const bool done = attempt.Run();
+      if (const auto& withdrawn = attempt.WithdrawnCommand()) {
+        mCheckStates[aGroup.Service()].mPendingCommand.OnWithdrawn(
+          *withdrawn, mContext.Now());
+      }
       if (attempt.HasYielded()) {
         suspension = mContext.mSettings.mHolderLease;
       }
--- a/Source/Sessions/clStoreKeys.cxx
+++ b/Source/Sessions/clStoreKeys.cxx
@@ -25,7 +25,8 @@
     { "floor_index", aRecord.mFloor.mIndex },
     { "holder", aRecord.mHolder },
     { "may_lead", std::move(possibleLeaders) },
-    { "token", aRecord.mToken },
+    { "token", aRecord.mCommand.mToken },
+    { "token_issuer", aRecord.mCommand.mIssuer },
     { "written_in", aRecord.mWrittenIn },
     { "supersedes_generation", aRecord.mSupersedes.mGeneration },
     { "supersedes_revision", aRecord.mSupersedes.mRevision },
@@ -59,7 +60,11 @@
     record.mFloor.mTerm = body.at("floor_term").to_number<std::uint64_t>();
     record.mFloor.mIndex = body.at("floor_index").to_number<std::uint64_t>();
     record.mHolder = json::value_to<std::string>(body.at("holder"));
-    record.mToken = NumberOrZero(body, "token");
+    record.mCommand.mToken = NumberOrZero(body, "token");
+    if (record.mCommand.mToken != 0) {
+      record.mCommand.mIssuer =
+        json::value_to<std::string>(body.at("token_issuer"));
+    }
     record.mWrittenIn = NumberOrZero(body, "written_in");
     record.mSupersedes = { NumberOrZero(body, "supersedes_generation"),
                            NumberOrZero(body, "supersedes_revision") };
--- a/StandIns/fleet_stand_in.py
+++ b/StandIns/fleet_stand_in.py
@@ -370,6 +370,8 @@
         #: False simulates a platform that accepts any fencing token.
         self.checks_tokens = True
         self.fencing_token = 0
+        #: True simulates a platform that has reached its rate limit.
+        self.rejects_commands = False
         #: Holder, token and instance of each promotion command, in order of
         #: arrival, and of those that were executed.
         self.promotion_arrivals = []
@@ -423,6 +425,8 @@
         return leader is not None and leader.mode == "up"
 
     async def promote(self, headers, body):
+        if self.rejects_commands:
+            return 429, {}
         token = int(headers["x-catkinloom-fencing-token"])
         command = (headers["x-catkinloom-lease-holder"], token, body["id"])
         self.promotion_arrivals.append(command)
--- a/Tests/Decisions/clPendingCommandTest.cxx
+++ b/Tests/Decisions/clPendingCommandTest.cxx
@@ -15,7 +15,7 @@
   failover_record record;
   record.mVersion = { kFirstGeneration, aRevision };
   record.mPossibleLeaders = { "a" };
-  record.mToken = aToken;
+  record.mCommand = { aToken, aToken == 0 ? "" : "p" };
   return record;
 }
 
@@ -70,6 +70,28 @@
   CHECK(mCommand.IsPendingAt(At(1799)));
 }
 
+// Issue 34: after a write of the record without a response the writer would
+// wait for a command that it has never sent.
+TEST_CASE_FIXTURE(pending_command_fixture,
+                  "pending_command_withdrawn_by_its_issuer_is_not_pending")
+{
+  mCommand.OnWithdrawn({ 6, "p" }, At(0));
+  mCommand.OnRecord(Naming(6, 6), At(10), kLifetime);
+  CHECK_FALSE(mCommand.IsPendingAt(At(10)));
+  mCommand.OnRecord(Naming(8, 9), At(20), kLifetime);
+  CHECK(mCommand.IsPendingAt(At(20)));
+  mCommand.OnWithdrawn({ 9, "p" }, At(30));
+  CHECK_FALSE(mCommand.IsPendingAt(At(30)));
+}
+
+TEST_CASE_FIXTURE(pending_command_fixture,
+                  "pending_command_of_other_issuer_stays_pending")
+{
+  mCommand.OnWithdrawn({ 6, "q" }, At(0));
+  mCommand.OnRecord(Naming(6, 6), At(10), kLifetime);
+  CHECK(mCommand.IsPendingAt(At(10)));
+}
+
 TEST_CASE("fencing_token_next_one_is_above_token_and_version_of_record")
 {
   CHECK(NextFencingToken(Naming(5, 0)) == 6);
--- a/Tests/Processes/test_promotion_commands.py
+++ b/Tests/Processes/test_promotion_commands.py
@@ -23,6 +23,8 @@
 #: Seconds from the write of a record until its writer is isolated; it has sent
 #: its command by then.
 ISOLATION_DELAY_S = 0.1
+#: Seconds for which the platform rejects commands.
+OVERLOAD_S = 4
 #: Seconds between two writes of a caller.
 WRITE_INTERVAL_S = 0.02
 
@@ -213,6 +215,27 @@
         wait_until(self.fleet.leader_is_up, MAX_COMMAND_AGE_S + MAX_RECOVERY_S)
         self.assert_tokens_never_fall()
 
+    def test_record_written_without_response_does_not_delay_promotion(self):
+        """The writer of a record that named a command waited for the lifetime of
+        that command, which it had never sent."""
+        def lose_response(_holder):
+            self.fleet.store.lose_answers = 1
+        self.on_next_command(lose_response)
+        self.crash_leader()
+        self.assertLess(wait_until(self.fleet.leader_is_up, MAX_RECOVERY_S),
+                        MAX_COMMAND_AGE_S)
+        self.assert_tokens_never_fall()
+
+    def test_platform_overloaded_leader_is_promoted_after_it(self):
+        """The platform rejects commands beyond its rate."""
+        self.fleet.rejects_commands = True
+        self.crash_leader()
+        time.sleep(OVERLOAD_S)
+        self.assertEqual(self.fleet.promotions, [])
+        self.fleet.rejects_commands = False
+        wait_until(self.fleet.leader_is_up, MAX_RECOVERY_S)
+        self.assert_tokens_never_fall()
+
     def test_holder_without_platform_leaves_promotion_to_another(self):
         """A proxy that reaches the store but not the platform kept the record
         for itself, again and again."""
--- a/Tests/Sessions/clStoreKeysTest.cxx
+++ b/Tests/Sessions/clStoreKeysTest.cxx
@@ -13,7 +13,7 @@
   record.mFloor = { 3, 1207 };
   record.mHolder = "proxy-1";
   record.mPossibleLeaders = { "i-2", "i-3" };
-  record.mToken = 1208;
+  record.mCommand = { 1208, "proxy-2" };
   record.mWrittenIn = 2;
   record.mSupersedes = { 1, 24 };
   const auto read = DecodeFailoverRecord(EncodeFailoverRecord(record));
@@ -34,6 +34,6 @@
     R"("floor_term":1,"floor_index":2,"holder":"p","may_lead":[]})");
   REQUIRE(read);
   CHECK(read.value().mWrittenIn == 0);
-  CHECK(read.value().mToken == 0);
+  CHECK(read.value().mCommand == command_id{});
   CHECK(read.value().mSupersedes == record_version{});
 }
