soak: a platform that checks no tokens, with commands held back

The wait for an unanswered command counts from the write of the record, 10 s, and no longer from the end of the time in which it may be sent: with 11.5 s a group that lost its leader and the command's holder together could miss the 12 s in which the deployments must recover.

--- a/Source/Sessions/clFailoverAttempt.cxx
+++ b/Source/Sessions/clFailoverAttempt.cxx
@@ -734,7 +734,8 @@
   possibleLeaders.push_back(aChosen);
   // The record names the instance and the token before the command is sent.
   mRecord.mCommand = { NextFencingToken(mRecord), mContext.Name() };
-  const time_point sendBy = Now() + settings.mPromotionSendWindow;
+  const time_point writtenAt = Now();
+  const time_point sendBy = writtenAt + settings.mPromotionSendWindow;
   if (!WriteRecord()) {
     mWithdrawnCommand = mRecord.mCommand;
     mDeadline = Now();
@@ -756,7 +757,7 @@
     mWithdrawnCommand = mRecord.mCommand;
     std::erase(possibleLeaders, aChosen);
   } else if (!settings.mFencedPromotions) {
-    mPendingUntil = sendBy + settings.mUnansweredCommandLifetime;
+    mPendingUntil = writtenAt + settings.mUnansweredCommandLifetime;
     mDeadline = mPendingUntil + kMaxAttemptDuration;
   }
   if (end == promotion_outcome::NotExecuted && !IsUnanswered(aChosen)) {
--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -60,11 +60,10 @@
 void
 failover_runner::TrackPendingCommand(upstream_group& aGroup, time_point aNow)
 {
-  const session_settings& settings = mContext.mSettings;
   mCheckStates[aGroup.Service()].mPendingCommand.OnRecord(
     aGroup.Leadership().Record(),
     aNow,
-    settings.mPromotionSendWindow + settings.mUnansweredCommandLifetime);
+    mContext.mSettings.mUnansweredCommandLifetime);
 }
 
 bool
--- a/Source/Sessions/clSessionSettings.h
+++ b/Source/Sessions/clSessionSettings.h
@@ -111,8 +111,9 @@
   /// Time after the write of a record in which the promotion command that it
   /// names may be sent.
   milliseconds mPromotionSendWindow{ 1500 };
-  /// Time for which a promotion command without a response may still be
-  /// executed.  Used only if the platform does not check fencing tokens.
+  /// Time from the write of a record for which the promotion command that it
+  /// names may still be executed if it has no response.  Used only if the
+  /// platform does not check fencing tokens.
   milliseconds mUnansweredCommandLifetime{ 10000 };
   /// Maximum time for a promotion to take effect.
   milliseconds mPromotionEffectTimeout{ 2500 };
--- a/StandIns/fleet_stand_in.py
+++ b/StandIns/fleet_stand_in.py
@@ -1,6 +1,6 @@
 """Simulates the external services of session proxies for tests: the
 coordination store, the instances of one database group, and the promotion API
-with its fencing token.
+with its fencing token, which it can also leave unchecked.
 
 Runs in a thread of the test process.  A test injects faults by calling methods
 and setting attributes.  Not simulated: rate limits, costs, paged results,
@@ -372,6 +372,8 @@
         self.fencing_token = 0
         #: True simulates a platform that has reached its rate limit.
         self.rejects_commands = False
+        #: Seconds for which a command is kept before it is executed.
+        self.promotion_hold_s = 0
         #: Holder, token and instance of each promotion command, in order of
         #: arrival, and of those that were executed.
         self.promotion_arrivals = []
@@ -427,6 +429,8 @@
     async def promote(self, headers, body):
         if self.rejects_commands:
             return 429, {}
+        if self.promotion_hold_s:
+            await asyncio.sleep(self.promotion_hold_s)
         token = int(headers["x-catkinloom-fencing-token"])
         command = (headers["x-catkinloom-lease-holder"], token, body["id"])
         self.promotion_arrivals.append(command)
--- a/Tests/Processes/soak_sessions.py
+++ b/Tests/Processes/soak_sessions.py
@@ -13,12 +13,16 @@
   before it read a statement from its connection);
 - no write of a rolled-back transaction is in the log;
 - a response contains the name of its own request;
+- the platform receives no promotion command with a lower token than an earlier
+  one, and no token from two proxies, if it does not check tokens (--unfenced);
 - every proxy serves writes within MAX_RECOVERY_S of the last fault.
 
-Usage: soak_sessions.py [--seconds S] [--proxies N] [--keep DIR] SEED [SEED ...]
+Usage: soak_sessions.py [--seconds S] [--proxies N] [--unfenced] [--keep DIR]
+                        SEED [SEED ...]
 """
 
 import argparse
+import json
 import pathlib
 import random
 import shutil
@@ -34,6 +38,11 @@
 #: Seconds from the end of the last fault until every proxy must serve writes;
 #: the recovery bound of the deployments.
 MAX_RECOVERY_S = 12
+#: Longest time in seconds for which a promotion command is held back; the
+#: platform may execute one without a response seconds later.
+MAX_HOLD_S = 6
+#: Key of the failover record of the group.
+FAILOVER_RECORD = "catkinloom/failover/core"
 #: Error codes that guarantee that the statement had no effect.
 NO_EFFECT_CODES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE",
                    "CONNLIMIT", "NOSUCHDB", "MALFORMED")
@@ -199,8 +208,8 @@
 class Soak:
     """A run with one seed."""
 
-    def __init__(self, seed, seconds, proxies, folder):
-        self.seed, self.seconds = seed, seconds
+    def __init__(self, seed, seconds, proxies, folder, fenced=True):
+        self.seed, self.seconds, self.fenced = seed, seconds, fenced
         self.random = random.Random(seed)
         self.observations = Observations()
         self.stopping = False
@@ -213,10 +222,14 @@
             instance.advertised = self.relay(instance.address).address
             self.fleet.run(instance.register())
         self.fleet.set_desired_state(self.version, ROUTES)
+        self.fleet.checks_tokens = fenced
         self.store_relays = [self.relay(self.fleet.store_address)
                        for _ in range(proxies)]
+        self.api_relays = self.store_relays if fenced else [
+            self.relay(self.fleet.store_address) for _ in range(proxies)]
         self.proxies = [Proxy(f"p-{n + 1}", "abc"[n % 3],
-                              self.store_relays[n].address, folder)
+                              self.store_relays[n].address, folder,
+                              self.api_relays[n].address, fenced)
                         for n in range(proxies)]
         self.caller_relays = []
         for proxy in self.proxies:
@@ -231,6 +244,10 @@
             (2, self.darken_instance), (2, self.cut_instance),
             (1, self.lose_answers), (1, self.hand_over),
             (2, self.change_version), (1, self.lose_promotion))
+        if not fenced:
+            self.faults += (
+                (2, self.isolate_next_holder), (2, self.hold_commands),
+                (1, self.execute_commands_late), (2, self.crash_leader))
 
     def relay(self, target):
         relay = self.fleet.run(Relay(target).start())
@@ -374,6 +391,58 @@
         if leader:
             leader.lose_answers += self.random.randint(1, 3)
 
+    # Faults of a platform that does not check tokens.
+
+    def isolate_next_holder(self):
+        """Holds back what the next proxy that names an instance in the failover
+        record sends, and cuts it off from the store or kills it, or neither."""
+        seconds = self.random.uniform(1, MAX_HOLD_S)
+        kind = self.random.choice(("cut", "kill", "none"))
+
+        def isolate(key, value):
+            if key != FAILOVER_RECORD:
+                return
+            record = json.loads(value)
+            if not record["contested"] or not record["may_lead"]:
+                return
+            self.fleet.store.on_write = lambda key, value: None
+            number = int(record["holder"].rsplit("-", 1)[1]) - 1
+            relays = [self.api_relays[number]]
+            if kind == "cut":
+                relays.append(self.store_relays[number])
+            self.fleet.loop.call_later(0.05, self.isolate, kind, number, relays)
+            for relay in relays:
+                self.fleet.loop.call_later(seconds, relay.clear_faults)
+            self.api_relays[number].blocked_directions.add(CLIENT_TO_TARGET)
+        self.fleet.store.on_write = isolate
+
+    def isolate(self, kind, number, relays):
+        for relay in relays:
+            relay.blocked_directions.update(
+                (CLIENT_TO_TARGET, TARGET_TO_CLIENT))
+        if kind == "kill" and self.proxies[number].process.poll() is None:
+            self.proxies[number].process.kill()
+            self.schedule(0.3, self.start_if_stopped, self.proxies[number])
+
+    def hold_commands(self):
+        relay = self.random.choice(self.api_relays)
+        relay.blocked_directions.add(CLIENT_TO_TARGET)
+        self.schedule(self.random.uniform(0.5, MAX_HOLD_S),
+                      relay.clear_faults)
+
+    def execute_commands_late(self):
+        self.fleet.promotion_hold_s = self.random.uniform(1, MAX_HOLD_S)
+        self.schedule(self.random.uniform(1, 4), setattr, self.fleet,
+                      "promotion_hold_s", 0)
+
+    def crash_leader(self):
+        leader = self.fleet.leader()
+        if self.faulted_instance is None and leader and leader.mode == "up":
+            self.faulted_instance = leader
+            self.fleet.run(leader.crash())
+            self.schedule(self.random.uniform(2.0, 8.0), self.release_instance,
+                          lambda: self.fleet.run(leader.restart()))
+
     def lose_promotion(self):
         self.fleet.promotion_responses_to_drop += 1
 
@@ -414,6 +483,8 @@
     def check_recovery(self):
         self.fleet.store.mode, self.fleet.store.lose_answers = "up", 0
         self.fleet.promotion_responses_to_drop = 0
+        self.fleet.promotion_hold_s = 0
+        self.fleet.store.on_write = lambda key, value: None
         for relay in self.relays:
             relay.clear_faults()
         for number, proxy in enumerate(self.proxies):
@@ -435,7 +506,17 @@
                     f"{proxy.name} acknowledged no write within "
                     f"{MAX_RECOVERY_S} s of the last fault")
 
+    def check_tokens(self):
+        arrivals = list(self.fleet.promotion_arrivals)
+        for earlier, later in zip(arrivals, arrivals[1:]):
+            is_shared = earlier[1] == later[1] and earlier[0] != later[0]
+            if later[1] < earlier[1] or is_shared:
+                self.observations.record_failure(
+                    f"the platform received {later} after {earlier}")
+
     def compare_with_log(self):
+        if not self.fenced:
+            self.check_tokens()
         log = [value for _, _, writes in self.fleet.leader().log
                for item, value in writes if item.startswith("item")]
         for value in sorted(self.observations.acknowledged):
@@ -464,10 +545,10 @@
         self.fleet.stop()
 
 
-def run_seed(seed, seconds, proxies, keep):
+def run_seed(seed, seconds, proxies, keep, fenced=True):
     """Runs one seed; returns the texts of the failed checks."""
     with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(seed, seconds, proxies, pathlib.Path(folder))
+        soak = Soak(seed, seconds, proxies, pathlib.Path(folder), fenced)
         try:
             soak.run()
         finally:
@@ -492,12 +573,14 @@
     parser.add_argument("seeds", nargs="+", type=int)
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--proxies", type=int, default=3)
+    parser.add_argument("--unfenced", action="store_true",
+                        help="the platform does not check fencing tokens")
     parser.add_argument("--keep",
                         help="directory in which the proxies' logs are kept")
     options = parser.parse_args()
     failures = [seed for seed in options.seeds
                 if run_seed(seed, options.seconds, options.proxies,
-                            options.keep)]
+                            options.keep, not options.unfenced)]
     print(f"{len(options.seeds) - len(failures)} passed, "
           f"{len(failures)} failed")
     return 1 if failures else 0
--- a/Tests/Processes/test_soak.py
+++ b/Tests/Processes/test_soak.py
@@ -12,6 +12,8 @@
     27: "fault of the check: a connection took the port of a stopped proxy",
 }
 OTHER_SEEDS = (101, 102)
+#: Run with a platform that does not check fencing tokens (issue 34).
+UNFENCED_SEEDS = (201, 202)
 SEED_DURATION_S = 10
 
 
@@ -23,6 +25,13 @@
                     soak_sessions.run_seed(seed, SEED_DURATION_S, 3,
                                            keep=None), [])
 
+    def test_seeds_without_checked_tokens_run_without_failures(self):
+        for seed in UNFENCED_SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(
+                    soak_sessions.run_seed(seed, SEED_DURATION_S, 3, keep=None,
+                                           fenced=False), [])
+
 
 if __name__ == "__main__":
     unittest.main()
