failover: the sending of a promotion command in a file of its own

No change of behaviour: the repetitions of a command, with its token and its time, are moved out of failover_attempt, which had grown by them.

--- a/Source/Sessions/clFailoverAttempt.cxx
+++ b/Source/Sessions/clFailoverAttempt.cxx
@@ -2,6 +2,7 @@
 
 #include "clLeadershipLease.h"
 #include "clLog.h"
+#include "clPromotionSender.h"
 #include "clStoreKeys.h"
 
 #include <algorithm>
@@ -14,9 +15,6 @@
 /// Delay before a step of an attempt is retried.
 constexpr milliseconds kRetryDelay{ 30 };
 
-/// Delay after a promotion command that was not accepted.
-constexpr milliseconds kPromotionRetryDelay{ 90 };
-
 /// Time that a promoter waits for evidence to expire, in percent of the
 /// evidence lifetime.  Exceeds 100 because the clocks of different VMs run at
 /// slightly different rates.
@@ -28,12 +26,6 @@
 /// Time after which an attempt is abandoned.
 constexpr milliseconds kMaxAttemptDuration{ 8000 };
 
-milliseconds::rep
-ToMilliseconds(nanoseconds aTime)
-{
-  return std::chrono::duration_cast<milliseconds>(aTime).count();
-}
-
 } // namespace
 
 std::string_view
@@ -177,7 +169,8 @@
         mGroup.Service(),
         fmt::join(mRecord.mPossibleLeaders, ","),
         mRecord.mCommand.mToken,
-        ToMilliseconds(mPendingUntil - Now()));
+        std::chrono::duration_cast<milliseconds>(mPendingUntil - Now())
+          .count());
     }
     return true;
   }
@@ -741,11 +734,18 @@
     mDeadline = Now();
     return false;
   }
-  const promotion_outcome end = CommandPromotion({ mGroup.Service(),
-                                                   aChosen,
-                                                   mContext.Name(),
-                                                   mRecord.mCommand.mToken,
-                                                   sendBy });
+  const promotion_result sent =
+    SendPromotionCommand(mContext,
+                         { mGroup.Service(),
+                           aChosen,
+                           mContext.Name(),
+                           mRecord.mCommand.mToken,
+                           sendBy },
+                         [this] { return MayContinue(); });
+  const promotion_outcome end = sent.mOutcome;
+  if (sent.mIsUnanswered && !IsUnanswered(aChosen)) {
+    mUnansweredPromotions.push_back(aChosen);
+  }
   if (end == promotion_outcome::Accepted) {
     return true;
   }
@@ -790,50 +790,6 @@
   mDeadline = Now();
 }
 
-promotion_outcome
-failover_attempt::CommandPromotion(const promotion_request& aRequest)
-{
-  while (true) {
-    const promotion_outcome end = CommandPromotionOnce(aRequest);
-    if (end == promotion_outcome::Unknown &&
-        !IsUnanswered(aRequest.mInstance)) {
-      mUnansweredPromotions.push_back(aRequest.mInstance);
-    }
-    const bool isRepeated = end == promotion_outcome::NotExecuted ||
-                            (end == promotion_outcome::Unknown &&
-                             !mContext.mSettings.mFencedPromotions);
-    const bool isInTime = Now() + kPromotionRetryDelay < aRequest.mSendBy;
-    if (!isRepeated || !isInTime || !MayContinue()) {
-      return end;
-    }
-    mContext.mLoop.Sleep(kPromotionRetryDelay);
-  }
-}
-
-promotion_outcome
-failover_attempt::CommandPromotionOnce(const promotion_request& aRequest)
-{
-  mContext.mMetrics.mPromotions.Increment();
-  const time_point startedAt = Now();
-  const promotion_outcome end = mContext.mPorts.mPromotions.Promote(
-    aRequest, mContext.mSettings.mPromoteTimeout);
-  Log(log_level::Info,
-      "failover",
-      "Promotion command finished; end is 0 accepted, 1 refused, 2 not "
-      "executed, 3 no response. service={} instance={} token={} end={} "
-      "send_window_left_ms={} taken_ms={}",
-      aRequest.mService,
-      aRequest.mInstance,
-      aRequest.mFencingToken,
-      static_cast<int>(end),
-      ToMilliseconds(aRequest.mSendBy - Now()),
-      ToMilliseconds(Now() - startedAt));
-  if (end == promotion_outcome::Unknown) {
-    mContext.mMetrics.mUnansweredPromotions.Increment();
-  }
-  return end;
-}
-
 bool
 failover_attempt::IsUnanswered(const std::string& aInstance) const
 {
--- a/Source/Sessions/clFailoverAttempt.h
+++ b/Source/Sessions/clFailoverAttempt.h
@@ -135,12 +135,6 @@
   bool SendPromotion(const std::string& aChosen);
   /// Releases the record, which then names no command and no holder.
   void YieldRecord();
-  /// Sends the command until it is answered, as long as it may be sent.
-  /// Repetitions have the same token: a platform that does not check tokens may
-  /// receive them in any order.  If the platform checks tokens, a command
-  /// without a response is not repeated, since a newer token cancels it.
-  promotion_outcome CommandPromotion(const promotion_request& aRequest);
-  promotion_outcome CommandPromotionOnce(const promotion_request& aRequest);
   bool IsUnanswered(const std::string& aInstance) const;
   /// Writes the record as complete, with retries.  Also true if another proxy
   /// has written a newer record with the same leader.
