--- a/Tests/Processes/fleet_case.py
+++ b/Tests/Processes/fleet_case.py
@@ -21,16 +21,23 @@
           "own": "read_your_writes"}
 
 
+#: Ports that free_port() has returned.
+USED_PORTS = set()
+
+
 def free_port():
-    """Returns a free port below the range of ephemeral ports.
+    """Returns a free port below the range of ephemeral ports, never one twice.
 
     No outgoing connection can occupy it while a proxy restarts.
     """
     while True:
         port = random.randint(15000, 31999)
+        if port in USED_PORTS:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
+                USED_PORTS.add(port)
                 return port
             except OSError:
                 continue
