review: a group without a leader stays without one (case 10)

Cause, by reading: a complete failover record names the leader; when that instance answers but does not lead, failover_runner::ReasonFor() finds no reason to replace it. The script crashes the named instance between the acceptance of its promotion and the effect, and ends with a final fault.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,6 +8,6 @@
 import sys
 if sys.version_info < (3, 11):
     sys.exit("Python 3.11 or newer is needed")
-for name in ("stand_in_2.py", "6/case.py", "9/case.py"):
+for name in ("stand_in_2.py", "6/case.py", "9/case.py", "10/case.py"):
     ast.parse(open(name, encoding="utf-8").read(), name)
 CHECK
