--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,5 +1,5 @@
-"""A replica without a directory entry goes on confirming the leader's commits,
-and another replica is promoted without them."""
+"""The instance that is to lead crashes before its promotion takes effect; the
+group is without a leader from then on, also after a restart of all proxies."""
 
 import asyncio
 import pathlib
@@ -8,68 +8,113 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import stand_in_2 as s  # noqa: E402
 
-#: Lengths as `fleetbench kinds` gives them for srv_cut and primary_cut.
-STORE_CUT_S = 5.0
-PRIMARY_CUT_S = 5.0
-#: Time between the two cuts from the store, less than a heartbeat interval.
-STORE_CUT_GAP_S = 0.3
+CRASH_S = 3.0
+DOWN_S = 1.3
+DRAIN_S = 7.0
+RECOVERY_S = 12.0
+OBSERVED_S = 20.0
+
+
+class Traffic:
+    """Counts requests and those that are served."""
+
+    def __init__(self):
+        self.sent = self.served = 0
+        self.stopped = False
+
+    async def run(self, proxies, number):
+        caller, count = None, 0
+        while not self.stopped:
+            count += 1
+            self.sent += 1
+            text = f"WRITE k{count} v{number}-{count}" if count % 3 == 0 \
+                else f"READ k{count}"
+            try:
+                if caller is None:
+                    caller = await s.Caller(
+                        proxies[(number + count) % len(proxies)],
+                        "book").open()
+                lines, _ = await caller.query(text)
+                self.served += 1 if s.is_success(lines) else 0
+            except s.SessionEnded:
+                if caller:
+                    caller.close()
+                caller = None
+            await asyncio.sleep(0.1)
+        if caller:
+            caller.close()
+
+    def share(self, since):
+        sent, served = self.sent - since[0], self.served - since[1]
+        return served / max(sent, 1), sent
+
+    def mark(self):
+        return self.sent, self.served
 
 
 async def case(record, folder, proxies):
-    fleet = s.Fleet(record, slots=3, max_conns=22, promote_s=1.0)
+    fleet = s.Fleet(record)
     await fleet.start((("i-p", "a", 0.001), ("i-a", "b", 0.001),
                        ("i-b", "c", 0.003)))
     await fleet.set_desired_state(2, {"book": "primary"})
-    for number, zone in enumerate("abc", 1):
+    for number, zone in enumerate("ab", 1):
         proxies.append(s.Proxy(number, zone, fleet, folder))
         await proxies[-1].start()
     for proxy in proxies:
         await s.until(proxy.is_ready, 10, proxy.name + " ready")
-    writer = s.Writer()
-    lost = []
+    traffic = Traffic()
+    clients = [asyncio.ensure_future(traffic.run(proxies, n))
+               for n in range(8)]
+    accepted = asyncio.Event()
 
-    def on_promoted(chosen, before):
-        has = s.data_of(chosen.log)
-        missing = [d for d in writer.acknowledged if d not in has]
-        if missing:
-            lost.append(chosen.ident)
-            record.write("check", f"LOST: {len(missing)} acknowledged writes "
-                         f"are not in the log of {chosen.ident}, which is "
-                         f"promoted: {missing[:5]}")
-    fleet.on_promoted = on_promoted
-    clients = [asyncio.ensure_future(writer.run(
-        lambda n=n: proxies[n % len(proxies)], f"w{n}")) for n in range(6)]
-    await asyncio.sleep(4)
-    if s.TROUBLE:
-        replica, primary = fleet.instances["i-a"], fleet.instances["i-p"]
+    async def crash_and_restart(chosen):
+        await asyncio.sleep(0.2)
+        chosen.crash()
+        chosen.log, chosen.term, chosen.paused_term = [], 1, 0
+        await asyncio.sleep(CRASH_S)
+        await chosen.start()
 
-        async def cut_twice_from_store():
-            for _ in range(2):
-                replica.cut_from_store = True
-                record.write("trouble", "i-a is partitioned from the store")
-                await asyncio.sleep(STORE_CUT_S)
-                replica.cut_from_store = False
-                record.write("trouble", "i-a reaches the store again")
-                await asyncio.sleep(STORE_CUT_GAP_S)
-        # Both cuts begin between two heartbeats.
-        beats = replica.beats
-        await s.until(lambda: replica.beats > beats, 3, "heartbeat of i-a")
-        await asyncio.sleep(0.05)
-        fleet.spawn(cut_twice_from_store())
-        await asyncio.sleep(7)
-        primary.cut_from = {proxies[0].name}
-        record.write("trouble", f"i-p is partitioned from {proxies[0].name}")
-        await asyncio.sleep(PRIMARY_CUT_S)
-        primary.cut_from = set()
-        record.write("trouble", "i-p reaches all again")
-    await asyncio.sleep(4)
-    writer.stopped = True
+    def on_accepted(chosen):
+        if s.TROUBLE and not accepted.is_set():
+            record.write("trouble", f"{chosen.ident} crashes for {CRASH_S} s")
+            fleet.spawn(crash_and_restart(chosen))
+        accepted.set()
+    fleet.on_accepted = on_accepted
+    await asyncio.sleep(5)
+    # Planned work: the primary is replaced.  The new instance starts first.
+    await fleet.add(s.Instance(fleet, "i-n", "a", 0.001))
+    await asyncio.sleep(2)
+    old = fleet.instances["i-p"]
+    old.state = "draining"
+    await old.report()
+    record.write("plan", "i-p is draining")
+    await asyncio.wait_for(accepted.wait(), 10)
+    before = traffic.share((0, 0))
+    await asyncio.sleep(0.5)
+    record.write("trouble", f"all proxies are killed; served before {before}")
+    for proxy in proxies:
+        await proxy.kill()
+    await asyncio.sleep(DOWN_S)
+    for proxy in proxies:
+        await proxy.start()
+    await asyncio.sleep(DRAIN_S)
+    old.crash()
+    await fleet.store.delete("servers/i-p")
+    record.write("plan", "i-p has left")
+    await asyncio.sleep(RECOVERY_S - DRAIN_S + 0.5)
+    mark = traffic.mark()
+    await asyncio.sleep(OBSERVED_S)
+    after = traffic.share(mark)
+    traffic.stopped = True
     await asyncio.gather(*clients)
-    record.write("check", f"acknowledged {len(writer.acknowledged)}, "
-                 f"answers {dict(writer.answers)}")
-    if len(writer.acknowledged) < 50:
-        raise s.CannotRun("too few writes were acknowledged")
-    return s.BROKEN if lost else s.HELD
+    leader = fleet.leader()
+    record.write("check", f"served before the final fault: {before[0]:.2f} of "
+                 f"{before[1]}; later than {RECOVERY_S} s after it: "
+                 f"{after[0]:.2f} of {after[1]}; leader: "
+                 f"{leader.ident if leader else 'none'}")
+    if before[0] < 0.25 or after[1] < 40:
+        raise s.CannotRun("no traffic to judge")
+    return s.BROKEN if after[0] < 0.25 else s.HELD
 
 
 if __name__ == "__main__":
