failover: the result of a group's check is logged

Change: the result of each check is logged when it differs from the one before, and catkinloom_groups_without_leader counts the groups whose leader is not known to lead.

--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -50,13 +50,46 @@
       TrackPendingCommand(*group, now);
       const bool declared =
         mContext.mDesired && mContext.mDesired->mServices.count(service) > 0;
-      if (declared && IsDirectoryComplete(*group, now)) {
+      if (declared) {
         CheckGroup(*group, now);
       }
     }
+    UpdateMetrics();
   }
 }
 
+void
+failover_runner::UpdateMetrics() const
+{
+  std::uint32_t leaderless = 0;
+  for (const auto& [service, group] : mContext.mGroups) {
+    const auto leader = group->Leader();
+    leaderless += leader && leader->mReportsPrimary ? 0 : 1;
+  }
+  mContext.mMetrics.mGroupsWithoutLeader.Set(leaderless);
+}
+
+void
+failover_runner::LogResult(const upstream_group& aGroup,
+                           group_check_state& aCheckState,
+                           std::string_view aResult) const
+{
+  if (aCheckState.mResult == aResult) {
+    return;
+  }
+  const auto leader = aGroup.Leader();
+  Log(log_level::Info,
+      "failover",
+      "Result of the group's check changed; a leader is replaced only for a "
+      "reason. service={} leader={} reports_primary={} before={} result={}",
+      aGroup.Service(),
+      leader ? leader->mEntry.mId : "",
+      leader && leader->mReportsPrimary,
+      aCheckState.mResult,
+      aResult);
+  aCheckState.mResult = aResult;
+}
+
 void
 failover_runner::TrackPendingCommand(upstream_group& aGroup, time_point aNow)
 {
@@ -87,9 +120,15 @@
   if (checkState.mIsAttemptRunning || aNow < checkState.mChecksSuspendedUntil) {
     return;
   }
-  if (const auto reason = ReasonFor(aGroup, checkState, aNow)) {
+  if (!IsDirectoryComplete(aGroup, aNow)) {
+    LogResult(aGroup, checkState, "directory_incomplete");
+    return;
+  }
+  const check_result result = Check(aGroup, checkState, aNow);
+  LogResult(aGroup, checkState, result.mName);
+  if (result.mReason) {
     checkState.mIsAttemptRunning = true;
-    StartAttempt(aGroup, *reason);
+    StartAttempt(aGroup, *result.mReason);
     return;
   }
   if (IsRewriteDue(aGroup, checkState, aNow)) {
@@ -162,10 +201,10 @@
   mContext.mRefreshLeadership();
 }
 
-std::optional<failover_reason>
-failover_runner::ReasonFor(upstream_group& aGroup,
-                           group_check_state& aCheckState,
-                           time_point aNow) const
+failover_runner::check_result
+failover_runner::Check(upstream_group& aGroup,
+                       group_check_state& aCheckState,
+                       time_point aNow) const
 {
   const session_settings& settings = mContext.mSettings;
   const failover_record& record = aGroup.Leadership().Record();
@@ -182,35 +221,41 @@
   const milliseconds holderLease =
     noPromotionSent ? settings.mAttemptLifetime : settings.mHolderLease;
   if (!isOwn && aNow - aCheckState.mRecordSeenSince < holderLease) {
-    return std::nullopt;
+    return { "holder_lease", std::nullopt };
   }
   if (record.mPhase == failover_phase::InProgress) {
-    return failover_reason::Unfinished;
+    return Replace(failover_reason::Unfinished);
   }
   // No command for another leader may be sent yet, and the present one may
   // still be all right.
   if (!settings.mFencedPromotions &&
       aCheckState.mPendingCommand.IsPendingAt(aNow)) {
-    return std::nullopt;
+    return { "command_pending", std::nullopt };
   }
   if (aGroup.Leadership().Leader().empty() || aGroup.Instances().empty()) {
-    return std::nullopt;
+    return { "no_leader_known", std::nullopt };
   }
   const auto leader = aGroup.Leader();
   if (!leader) {
-    return failover_reason::Missing;
+    return Replace(failover_reason::Missing);
   }
   if (leader->mEntry.mDraining && aGroup.Instances().size() > 1) {
-    return failover_reason::Leaving;
+    return Replace(failover_reason::Leaving);
   }
   if (leader->mHealth.UnresponsiveFor(aNow) >=
       settings.mLeaderResponseTimeout) {
-    return failover_reason::Unresponsive;
+    return Replace(failover_reason::Unresponsive);
   }
   if (leader->mHealth.CommitsPendingFor(aNow) >= settings.mCommitAckTimeout) {
-    return failover_reason::CommitsStuck;
+    return Replace(failover_reason::CommitsStuck);
   }
-  return std::nullopt;
+  return { "leader_in_place", std::nullopt };
+}
+
+failover_runner::check_result
+failover_runner::Replace(failover_reason aReason)
+{
+  return { FailoverReasonName(aReason), aReason };
 }
 
 void
--- a/Source/Sessions/clFailoverRunner.h
+++ b/Source/Sessions/clFailoverRunner.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace catkinloom {
 
@@ -31,6 +32,17 @@
     record_version mSeenRecordVersion{};
     time_point mRecordSeenSince;
     pending_command mPendingCommand;
+    /// Result of the latest check, as logged.
+    std::string_view mResult;
+  };
+
+  /// Result of a check whether a group's leader must be replaced.
+  struct check_result
+  {
+    /// Stable name for log lines.
+    std::string_view mName;
+    /// Empty if the leader stays.
+    std::optional<failover_reason> mReason;
   };
 
   void CheckGroup(upstream_group& aGroup, time_point aNow);
@@ -39,10 +51,17 @@
   /// expired during a store outage, or the instances have had time to register
   /// again.
   bool IsDirectoryComplete(const upstream_group& aGroup, time_point aNow) const;
-  /// Reason to replace the group's leader now; empty if there is none.
-  std::optional<failover_reason> ReasonFor(upstream_group& aGroup,
-                                           group_check_state& aCheckState,
-                                           time_point aNow) const;
+  /// Whether the group's leader must be replaced now, and why or why not.
+  check_result Check(upstream_group& aGroup,
+                     group_check_state& aCheckState,
+                     time_point aNow) const;
+  static check_result Replace(failover_reason aReason);
+  /// Logs the result if it differs from the one before.
+  void LogResult(const upstream_group& aGroup,
+                 group_check_state& aCheckState,
+                 std::string_view aResult) const;
+  /// Counts the groups whose leader is not known to lead.
+  void UpdateMetrics() const;
   void StartAttempt(upstream_group& aGroup, failover_reason aReason);
   /// True if the record, which a restore of the store made useless as evidence,
   /// may be written again by this proxy now.  The proxies do so at different
--- a/Source/Sessions/clSessionMetrics.cxx
+++ b/Source/Sessions/clSessionMetrics.cxx
@@ -74,6 +74,9 @@
       AddCounter(*mRegistry,
                  "catkinloom_log_lines_left_out_total",
                  "Decision log lines suppressed by the rate limit."))
+  , mGroupsWithoutLeader(AddGauge(*mRegistry,
+                                  "catkinloom_groups_without_leader",
+                                  "Groups whose leader is not known to lead."))
   , mStoreGeneration(AddGauge(
       *mRegistry,
       "catkinloom_store_generation",
--- a/Source/Sessions/clSessionMetrics.h
+++ b/Source/Sessions/clSessionMetrics.h
@@ -43,6 +43,7 @@
   prometheus::Counter& mPromotions;
   prometheus::Counter& mUnansweredPromotions;
   prometheus::Counter& mLogLinesSuppressed;
+  prometheus::Gauge& mGroupsWithoutLeader;
   prometheus::Gauge& mStoreGeneration;
   prometheus::Gauge& mDesiredVersion;
   prometheus::Gauge& mDesiredCheckAge;
