failover: a named leader that does not lead is replaced

Callers saw: a group refuses every statement for its leader ("no usable instance", BUSY), for good, although all its instances answer; a restart of all proxies does not help.

Cause: a complete record, or the directory before there is one, was taken for a leader that leads. The check replaced a leader that is missing, draining, silent or whose commits are stuck. One that answers and does not lead gets no statements, so that none of this is ever noticed; the same holds for one that does not answer and was never known to lead. PollLeader() asked it again and again, without a consequence.

As such a leader may never have led, its predecessor may lead on, so an attempt then does not count the leader's step-down as a stop: each instance that did not confirm one is a possible leader, whose commits all others must not receive, the named leader included. An instance that leads the newest term takes the named leader's place in the attempt and is stepped down. A named leader without its log, or below the floor, is no yardstick for what the others must hold; the loss of another instance while the named leader never led loses nothing beyond the record's floor. A draining leader whose promotion may be under way is not handed over before it could take effect.

Why it works: the state is recognized by what the instance says, whatever led to it, and commits are stopped under the weaker assumption that anyone may lead.

--- a/Source/Decisions/clFailoverPlan.cxx
+++ b/Source/Decisions/clFailoverPlan.cxx
@@ -85,6 +85,19 @@
                      });
 }
 
+std::vector<std::string>
+FindUnseenLeaders(const std::vector<failover_member>& aMembers,
+                  const std::string& aPrimary)
+{
+  std::vector<std::string> unseen;
+  for (const failover_member& member : aMembers) {
+    if (member.mId != aPrimary && !member.mStopped) {
+      unseen.push_back(member.mId);
+    }
+  }
+  return unseen;
+}
+
 std::optional<std::string>
 FindSoleCommandedInstance(const std::vector<std::string>& aPossibleLeaders)
 {
@@ -123,9 +136,11 @@
   if (aInherited.mOnlyPrimaryHasAll && mayHaveLedUnseen) {
     return std::nullopt;
   }
+  // A primary that lost its log does not show which commits exist.
   const auto primary = std::find_if(
     aMembers.begin(), aMembers.end(), [&](const failover_member& aMember) {
-      return aMember.mId == aPrimary && aMember.mStopped;
+      return aMember.mId == aPrimary && aMember.mStopped && aMember.mHasLog &&
+             aMember.mPosition >= aInherited.mFloor;
     });
   const auto holdsEveryCommit = [&](const failover_member& aMember) {
     const bool reachesPrimary =
--- a/Source/Decisions/clFailoverPlan.h
+++ b/Source/Decisions/clFailoverPlan.h
@@ -24,6 +24,8 @@
   term_number mPausedTerm = 0;
   /// End of its log in that report.
   log_position mPosition{};
+  /// False if it is known to have restarted without its log.
+  bool mHasLog = true;
   /// Start time of the incarnation that reported; nothing it reported holds for
   /// a later incarnation of the same instance.
   std::int64_t mStartedAt = 0;
@@ -63,6 +65,13 @@
                      const std::vector<std::string>& aPossibleLeaders,
                      std::uint32_t aSyncReplicas);
 
+/// Instances that may lead although neither the record nor a report says so:
+/// all that have not confirmed a stop, except aPrimary.  Needed if aPrimary is
+/// not known to have led, since its predecessor may lead on.
+std::vector<std::string>
+FindUnseenLeaders(const std::vector<failover_member>& aMembers,
+                  const std::string& aPrimary);
+
 /// The only instance whose promotion was commanded without a response; empty
 /// when there are none or several.  Commanding it again does not require that
 /// its commits have stopped: if the earlier command takes effect, the same
--- a/Source/Sessions/clFailoverAttempt.cxx
+++ b/Source/Sessions/clFailoverAttempt.cxx
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <fmt/ranges.h>
+#include <map>
 
 namespace catkinloom {
 
@@ -42,6 +43,8 @@
       return "missing";
     case failover_reason::Unfinished:
       return "unfinished";
+    case failover_reason::NotLeading:
+      return "not_leading";
   }
   return "silent";
 }
@@ -71,12 +74,24 @@
   , mGroup(aGroup)
   , mReason(aReason)
   , mPrimary(aGroup.Leadership().Leader())
+  , mNamedLeader(mPrimary)
+  , mIsLeaderUnproven(false)
+  , mHasLeaderNeverLed(false)
   , mRecord(aRecord)
   , mRecordFloor(aRecord.mFloor)
   , mUnansweredPromotions(aRecord.mPossibleLeaders)
   , mPendingUntil(aPendingUntil.value_or(aContext.Now()))
   , mDeadline(std::max(mPendingUntil, aContext.Now()) + kMaxAttemptDuration)
 {
+  const auto leader = aGroup.Leader();
+  mIsLeaderUnproven = !leader || !leader->mReportsPrimary;
+  mHasLeaderNeverLed = aRecord.mPhase == failover_phase::Complete &&
+                       aRecord.mCommand.mToken != 0 && leader &&
+                       !leader->mHasLed;
+  if (mReason == failover_reason::Leaving && mIsLeaderUnproven) {
+    // Its step-down would stop no commits.
+    mReason = failover_reason::NotLeading;
+  }
   const bool isExpired = aContext.Now() >= mPendingUntil;
   if (aRecord.mPhase == failover_phase::Complete && isExpired) {
     // Repetitions of the command that made it the leader.
@@ -384,8 +399,28 @@
 bool
 failover_attempt::MustPauseFormerLeader(const failover_member& aMember) const
 {
-  return aMember.mId == mPrimary && aMember.mStopped &&
-         aMember.mPausedTerm == 0 && !mRecord.mPossibleLeaders.empty();
+  if (aMember.mId != mPrimary || aMember.mPausedTerm != 0) {
+    return false;
+  }
+  if (mIsLeaderUnproven) {
+    const auto primary = mGroup.Find(mPrimary);
+    return primary && !primary->mReportsPrimary;
+  }
+  return aMember.mStopped && !mRecord.mPossibleLeaders.empty();
+}
+
+instance_command
+failover_attempt::StopCommandFor(const upstream_instance& aInstance) const
+{
+  const std::string& id = aInstance.mEntry.mId;
+  const auto member = std::find_if(
+    mMembers.begin(), mMembers.end(), [&id](const failover_member& aMember) {
+      return aMember.mId == id;
+    });
+  const bool isPaused =
+    member != mMembers.end() && MustPauseFormerLeader(*member);
+  return id == mPrimary && !isPaused ? instance_command::StepDown
+                                     : instance_command::Pause;
 }
 
 void
@@ -393,13 +428,8 @@
 {
   const term_number next = NextTerm();
   const bool isPlanned = mReason == failover_reason::Leaving;
-  const auto commandFor = [this](const upstream_instance& aInstance) {
-    const std::string& id = aInstance.mEntry.mId;
-    return id == mPrimary && !MustPauseFormerLeader(MemberOf(id))
-             ? instance_command::StepDown
-             : instance_command::Pause;
-  };
   std::vector<std::shared_ptr<upstream_instance>> pending;
+  std::map<const upstream_instance*, instance_command> commands;
   for (const auto& instance : mGroup.Instances()) {
     failover_member& member = MemberOf(instance->mEntry.mId);
     member.mDraining = instance->mEntry.mDraining;
@@ -407,14 +437,20 @@
     // In an unplanned failover the first round skips the leader: a lost one
     // would only cost the time-out, and pausing the replicas may be enough.
     const bool isTarget = isPrimary ? isPlanned || mStopRounds > 0 : !isPlanned;
-    if ((!member.mStopped && isTarget) || MustPauseFormerLeader(member)) {
+    const bool mustPause = member.mStopped && MustPauseFormerLeader(member);
+    if ((!member.mStopped && isTarget) || mustPause) {
       pending.push_back(instance);
+      commands[instance.get()] = StopCommandFor(*instance);
     }
   }
   ++mStopRounds;
-  const auto answers = mGroup.SendToEach(pending, commandFor, next);
+  const auto answers = mGroup.SendToEach(
+    pending,
+    [&](const upstream_instance& aInstance) { return commands.at(&aInstance); },
+    next);
   for (std::size_t i = 0; i < pending.size(); ++i) {
-    RecordStopResponse(*pending[i], commandFor(*pending[i]), next, answers[i]);
+    RecordStopResponse(
+      *pending[i], commands.at(pending[i].get()), next, answers[i]);
   }
   EvaluatePauses(mMembers);
 }
@@ -435,25 +471,27 @@
     // held the only other copy of a commit.
     hasLog = status.mReceived >=
              std::max(aInstance.mPreviousLogEnd, aInstance.mPosition);
-    if (!hasLog && isPause) {
+    // The commits of a leader have been confirmed by others.
+    if (!hasLog && isPause && member.mId != mNamedLeader) {
       mGroup.Leadership().OnMemberLost(Now());
     }
-    if (IsReturnedPrimary(aInstance, status)) {
+    if (IsActualPrimary(aInstance, status)) {
       Log(log_level::Info,
           "failover",
-          "Leader is back under another name; it is stepped down. service={} "
-          "former={} instance={} term={}",
+          "Another instance than the named leader leads; it is stepped down. "
+          "service={} named={} instance={} term={}",
           mGroup.Service(),
           mPrimary,
           member.mId,
           status.mTerm);
-      mPrimary = member.mId;
+      ReplacePrimary(member.mId);
     }
     member.mStopped = !isPause && !status.mLeads && hasLog;
     // A pause does not stop a leader.
     member.mPausedTerm = isPause && !status.mLeads ? status.mPausedTerm : 0;
     member.mTerm = status.mTerm;
     member.mPosition = status.mReceived;
+    member.mHasLog = hasLog;
     member.mStartedAt = aInstance.mEntry.mStartedAt;
   }
   Log(
@@ -475,19 +513,32 @@
 }
 
 bool
-failover_attempt::IsReturnedPrimary(const upstream_instance& aInstance,
-                                    const instance_status& aStatus) const
+failover_attempt::IsActualPrimary(const upstream_instance& aInstance,
+                                  const instance_status& aStatus) const
 {
   const bool servesItsAddress =
-    aInstance.mEntry.mId != mPrimary &&
     aInstance.mEntry.mAddress == mGroup.LeaderAddress();
+  const bool mayLead =
+    aInstance.mEntry.mId != mPrimary && (servesItsAddress || mIsLeaderUnproven);
   log_position newest =
     std::max(InheritedCommits().mFloor, mGroup.Leadership().NewestPosition());
   for (const failover_member& member : mMembers) {
     newest = std::max(newest, member.mPosition);
   }
-  return servesItsAddress && aStatus.mLeads &&
-         aStatus.mTerm + 1 >= NextTerm() && aStatus.mReceived >= newest;
+  return mayLead && aStatus.mLeads && aStatus.mTerm + 1 >= NextTerm() &&
+         aStatus.mReceived >= newest;
+}
+
+void
+failover_attempt::ReplacePrimary(const std::string& aId)
+{
+  for (failover_member& member : mMembers) {
+    if (member.mId == mPrimary && member.mPausedTerm == 0) {
+      // It may receive the commits of the actual primary.
+      member.mStopped = false;
+    }
+  }
+  mPrimary = aId;
 }
 
 void
@@ -528,7 +579,8 @@
 {
   const group_leadership& leadership = mGroup.Leadership();
   return { std::max(mRecordFloor, leadership.LossFloor()),
-           leadership.HasUnknownLoss() };
+           leadership.HasUnknownLoss() &&
+             !(mHasLeaderNeverLed && mPrimary == mNamedLeader) };
 }
 
 bool
@@ -570,20 +622,32 @@
     std::erase_if(others, [this](const failover_member& aMember) {
       return aMember.mId == mPrimary;
     });
-    chosen =
-      ChooseNextLeader(others, mPrimary, inherited, mRecord.mPossibleLeaders);
+    chosen = ChooseNextLeader(others, mPrimary, inherited, PossibleLeaders());
   }
   if (!chosen) {
-    chosen =
-      ChooseNextLeader(mMembers, mPrimary, inherited, mRecord.mPossibleLeaders);
+    chosen = ChooseNextLeader(mMembers, mPrimary, inherited, PossibleLeaders());
   }
   return chosen;
 }
 
+std::vector<std::string>
+failover_attempt::PossibleLeaders() const
+{
+  std::vector<std::string> possible = mRecord.mPossibleLeaders;
+  if (mIsLeaderUnproven) {
+    const auto unseen = FindUnseenLeaders(mMembers, mPrimary);
+    possible.insert(possible.end(), unseen.begin(), unseen.end());
+    if (mPrimary != mNamedLeader && !mGroup.Find(mNamedLeader)) {
+      possible.push_back(mNamedLeader);
+    }
+  }
+  return possible;
+}
+
 bool
 failover_attempt::AreCommitsStopped() const
 {
-  std::vector<std::string> possibleLeaders = mRecord.mPossibleLeaders;
+  std::vector<std::string> possibleLeaders = PossibleLeaders();
   if (const auto next = ChooseCandidate()) {
     std::erase(possibleLeaders, *next);
   }
--- a/Source/Sessions/clFailoverAttempt.h
+++ b/Source/Sessions/clFailoverAttempt.h
@@ -23,6 +23,9 @@
   Missing,
   /// Another proxy started to replace the leader and did not finish.
   Unfinished,
+  /// The leader does not lead: its promotion had no effect, or it lost the lead
+  /// by a restart.
+  NotLeading,
 };
 
 /// Stable name of a reason for log lines.
@@ -91,17 +94,21 @@
   void LogNoCandidate();
   bool StopCommits();
   void SendStopCommands();
-  /// True if aMember is the former leader, has stepped down, and may receive
-  /// the commits of an instance whose promotion was commanded.
+  /// True if aMember is the former leader, does not lead, and may receive the
+  /// commits of an instance that may lead.
   bool MustPauseFormerLeader(const failover_member& aMember) const;
+  /// Command that stops an instance.
+  instance_command StopCommandFor(const upstream_instance& aInstance) const;
   void RecordStopResponse(upstream_instance& aInstance,
                           instance_command aCommand,
                           term_number aTerm,
                           const result<instance_status>& aAnswer);
-  /// True if aInstance is the leader to replace, back under another name: it
-  /// serves the leader's address, leads the newest term and has its log.
-  bool IsReturnedPrimary(const upstream_instance& aInstance,
-                         const instance_status& aStatus) const;
+  /// True if aInstance is the leader to replace: it leads the newest term and
+  /// has the leader's log, and the leader either serves its address, so that it
+  /// is back under another name, or is not known to have led.
+  bool IsActualPrimary(const upstream_instance& aInstance,
+                       const instance_status& aStatus) const;
+  void ReplacePrimary(const std::string& aId);
   void StepPrimaryDown();
   bool RevokeLeases();
   void AwaitEvidenceExpiry();
@@ -120,6 +127,9 @@
   /// Waits up to mMaxCatchUpWait until a replica has the whole log of the
   /// leader that stepped down.
   void AwaitCaughtUpReplica();
+  /// Instances that may lead beside mPrimary: those whose promotion was
+  /// commanded without a response, and those that may lead unseen.
+  std::vector<std::string> PossibleLeaders() const;
   /// True if no instance other than the next leader can acknowledge a commit.
   bool AreCommitsStopped() const;
   /// The instance to promote; empty if none qualifies yet.
@@ -153,6 +163,14 @@
   failover_reason mReason;
   /// The leader to replace.
   std::string mPrimary;
+  /// Leader when the attempt began.
+  std::string mNamedLeader;
+  /// It does not report itself as primary: it may never have led, so that
+  /// another instance may lead.
+  bool mIsLeaderUnproven;
+  /// This proxy never saw it lead, so that all commits are those from before
+  /// its promotion, which the record's floor covers.
+  bool mHasLeaderNeverLed;
   failover_record mRecord;
   /// Lowest log position for a new leader, from the record that the attempt
   /// replaces.
--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -239,7 +239,12 @@
   if (!leader) {
     return Replace(failover_reason::Missing);
   }
-  if (leader->mEntry.mDraining && aGroup.Instances().size() > 1) {
+  // The promotion that the record names may still take effect.
+  const bool isPromotionPending =
+    !leader->mReportsPrimary && aGroup.Leadership().KnowsRecord() &&
+    aNow - aCheckState.mRecordSeenSince < settings.mPromotionEffectTimeout;
+  if (leader->mEntry.mDraining && aGroup.Instances().size() > 1 &&
+      !isPromotionPending) {
     return Replace(failover_reason::Leaving);
   }
   if (leader->mHealth.UnresponsiveFor(aNow) >=
@@ -249,6 +254,15 @@
   if (leader->mHealth.CommitsPendingFor(aNow) >= settings.mCommitAckTimeout) {
     return Replace(failover_reason::CommitsStuck);
   }
+  // A record that replaces the leader may be on its way, too.
+  if (isPromotionPending ||
+      (!leader->mReportsPrimary &&
+       aNow - leader->mRoleSince < settings.mPromotionEffectTimeout)) {
+    return { "promotion_pending", std::nullopt };
+  }
+  if (!leader->mReportsPrimary && record.IsCurrent()) {
+    return Replace(failover_reason::NotLeading);
+  }
   return { "leader_in_place", std::nullopt };
 }
 
@@ -335,9 +349,19 @@
   if (aReason == failover_reason::CommitsStuck) {
     return HasSuccessorForStuckLeader(aGroup);
   }
-  if (aReason != failover_reason::Unresponsive || !leader) {
+  const bool mayRespond = aReason == failover_reason::Unresponsive ||
+                          aReason == failover_reason::NotLeading;
+  if (!mayRespond || !leader) {
     return true;
   }
+  if (aReason == failover_reason::NotLeading) {
+    const auto status =
+      aGroup.SendCommand(*leader, instance_command::Status, 0);
+    if (status) {
+      aGroup.NotifyAll();
+      return !status.value().mLeads;
+    }
+  }
   const time_point sentAt = mContext.Now();
   if (aGroup.RespondsToNewConnection(*leader)) {
     leader->mHealth.RecordSent(sentAt, false);
--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -76,6 +76,17 @@
   return 0;
 }
 
+void
+upstream_group::RecordRole(upstream_instance& aInstance, bool aLeads)
+{
+  const bool isNew = aInstance.mRoleSince == time_point{};
+  if (isNew || aInstance.mReportsPrimary != aLeads) {
+    aInstance.mRoleSince = Now();
+  }
+  aInstance.mReportsPrimary = aLeads;
+  aInstance.mHasLed = aInstance.mHasLed || aLeads;
+}
+
 void
 upstream_group::MarkRemoved(upstream_instance& aInstance)
 {
@@ -132,14 +143,14 @@
       instance && instance->mEntry.mAddress == entry.mAddress &&
       instance->mEntry.mStartedAt == entry.mStartedAt;
     if (!sameIncarnation) {
-      log_position previousLogEnd;
-      if (instance) {
-        MarkRemoved(*instance);
-        previousLogEnd =
-          std::max(instance->mPosition, instance->mPreviousLogEnd);
-      }
+      const auto previous = std::move(instance);
       instance = std::make_shared<upstream_instance>();
-      instance->mPreviousLogEnd = previousLogEnd;
+      if (previous) {
+        MarkRemoved(*previous);
+        instance->mPreviousLogEnd =
+          std::max(previous->mPosition, previous->mPreviousLogEnd);
+        instance->mHasLed = previous->mHasLed;
+      }
     }
     if (!sameIncarnation || !(instance->mEntry == entry)) {
       Log(log_level::Info,
@@ -153,7 +164,7 @@
           entry.mDraining);
     }
     if (!sameIncarnation || instance->mEntry.mLeads != entry.mLeads) {
-      instance->mReportsPrimary = entry.mLeads;
+      RecordRole(*instance, entry.mLeads);
     }
     instance->mEntry = entry;
     instance->mMissingSince.reset();
@@ -567,7 +578,7 @@
     aInstance.mPosition = std::max(aInstance.mPosition, *aReply.mPosition);
   }
   if (aReply.HasError(statement_error::ReadOnly)) {
-    aInstance.mReportsPrimary = false;
+    RecordRole(aInstance, false);
   }
   if (aReply.HasError(statement_error::Lagging)) {
     aInstance.mLaggingUntil = Now() + mEnvironment.mSettings.mLaggingBackoff;
@@ -671,7 +682,7 @@
   }
   BOOST_OUTCOME_TRY(const instance_status status,
                     mEnvironment.mCodec.DecodeInstanceStatus(reply.mLastRow));
-  aInstance.mReportsPrimary = status.mLeads;
+  RecordRole(aInstance, status.mLeads);
   aInstance.mTerm = std::max(aInstance.mTerm, status.mTerm);
   aInstance.mPosition = std::max(aInstance.mPosition, status.mReceived);
   return status;
--- a/Source/Sessions/clUpstreamGroup.h
+++ b/Source/Sessions/clUpstreamGroup.h
@@ -48,6 +48,10 @@
   term_number mTerm = 0;
   /// It reports itself as primary, in the directory or in a status response.
   bool mReportsPrimary = false;
+  /// Since when it has reported this role.
+  time_point mRoleSince;
+  /// It has reported itself as primary, in this incarnation or an earlier one.
+  bool mHasLed = false;
   /// It did not respond to a new connection; not selected before this time.
   time_point mAvoidedUntil;
   /// Failed connection attempts since its last response.
@@ -212,6 +216,8 @@
   void CloseExpiredIdle();
 
 private:
+  /// Adopts the role that an instance reports.
+  void RecordRole(upstream_instance& aInstance, bool aLeads);
   void MarkRemoved(upstream_instance& aInstance);
   /// Finds out whether an instance whose directory entry is missing has ended.
   void ProbeMissing(std::shared_ptr<upstream_instance> aInstance);
--- a/StandIns/fleet_stand_in.py
+++ b/StandIns/fleet_stand_in.py
@@ -224,6 +224,8 @@
         self.busy_share = 0
         self.busy_random = random.Random(ident)
         self.writers = set()
+        #: Start time of its incarnation.
+        self.born = 1700000000000
         self.address = None
         #: Address in its directory entry; None for its own address.
         self.advertised = None
@@ -256,7 +258,7 @@
                  "zone": self.zone, "slots": 3,
                  "state": "draining" if self.draining else "ready",
                  "db_role": "primary" if self.is_leader else "replica",
-                 "seq": 1, "born": 1700000000000}
+                 "seq": 1, "born": self.born}
         await self.fleet.store.write("servers/" + self.ident,
                                      json.dumps(entry).encode())
 
@@ -452,6 +454,14 @@
             self.serve, host, int(port), limit=MAX_MESSAGE_BYTES)
         await self.register()
 
+    async def restart_empty(self):
+        """Starts anew under its id and address, as a replica that knows nothing
+        of before."""
+        self.log, self.term, self.paused_term = [], 1, 0
+        self.is_leader = False
+        self.born += 1
+        await self.restart()
+
     async def crash(self):
         """Resets all connections and stops listening."""
         self.mode = "down"
@@ -481,6 +491,8 @@
         self.promotion_arrivals = []
         self.promotions = []
         self.promotion_responses_to_drop = 0
+        #: Called with the instance of each accepted command.
+        self.on_accepted = lambda candidate: None
         self.store_address = self.run(self.start())
 
     def run(self, coroutine):
@@ -543,12 +555,16 @@
         if candidate.mode != "up":
             return 409, {}
         self.promotions.append(command)
+        self.on_accepted(candidate)
         asyncio.ensure_future(self.complete_promotion(candidate))
         return 200, {}
 
     async def complete_promotion(self, candidate):
+        """Has no effect if the candidate crashed or restarted meanwhile."""
+        born = candidate.born
         await asyncio.sleep(PROMOTION_DELAY_S)
-        if candidate.is_leader:
+        has_ended = candidate.mode == "down" or candidate.born != born
+        if candidate.is_leader or has_ended:
             return
         term = max(i.term for i in self.instances.values()) + 1
         for other in self.instances.values():
--- a/Tests/Decisions/clFailoverPlanTest.cxx
+++ b/Tests/Decisions/clFailoverPlanTest.cxx
@@ -242,6 +242,34 @@
   CHECK(ChooseNextLeader(mMembers, "a", mInherited) == "a");
 }
 
+// Issue 44: a named leader that never led was taken for the one that has all.
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "choice_after_unknown_loss_ignores_primary_without_log")
+{
+  mInherited.mOnlyPrimaryHasAll = true;
+  mInherited.mFloor = { 1, 157 };
+  Stop("b", { 1, 157 });
+  Stop("a", { 1, 0 });
+  CHECK_FALSE(ChooseNextLeader(mMembers, "a", mInherited));
+  Stop("a", { 1, 157 });
+  CHECK(ChooseNextLeader(mMembers, "a", mInherited) == "b");
+  Member("a").mHasLog = false;
+  CHECK_FALSE(ChooseNextLeader(mMembers, "a", mInherited));
+}
+
+// Issue 44: a former leader may lead on beside a named one that never led.
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "unseen_leader_commits_until_every_receiver_is_paused")
+{
+  Stop("a", { 1, 5 });
+  Pause("b", { 1, 5 });
+  CHECK(FindUnseenLeaders(mMembers, "a") == std::vector<std::string>{ "c" });
+  mPossibleLeaders = FindUnseenLeaders(mMembers, "a");
+  CHECK_FALSE(IsStopped());
+  Pause("a", { 1, 5 });
+  CHECK(IsStopped());
+}
+
 TEST_CASE_FIXTURE(failover_plan_fixture,
                   "choice_after_unknown_loss_may_equal_primary_log")
 {
