failover: entries that only a lost leader had bind nobody

Cause: a leader that drains steps down with entries that no replica received. No replica catches up, since a leader that stepped down sends nothing, so the leader itself is chosen and its log's end becomes the record's floor. If it then restarts without its log, no instance reaches the floor ("No instance may lead without loss yet", floor=1.204, both replicas at 1.202), although the two entries were never acknowledged: a commit is acknowledged once a replica has it.

Evidence: the log above; the leader's own statements ended without an answer.

Change: an attempt asks all replicas, not only one that is level, and writes a second floor into the record: the lowest position that contains every acknowledged commit according to all other instances (FindConfirmedFloor). It equals the floor if one of them did not answer, lost its log, or may have left with the only copy of a commit. It applies only when the named leader has left, or answers with less than it was chosen for; the floor for reads stays. A record of an older build has one floor.

Why it works: what the lower floor leaves out was confirmed by no instance that could have confirmed it.

--- a/Source/Decisions/clFailoverPlan.cxx
+++ b/Source/Decisions/clFailoverPlan.cxx
@@ -121,6 +121,29 @@
          CountActiveReceivers(aMembers, aPrimary) == 0;
 }
 
+std::optional<log_position>
+FindConfirmedFloor(const std::vector<failover_member>& aMembers,
+                   const std::string& aPrimary,
+                   const inherited_commits& aInherited,
+                   std::uint32_t aSyncReplicas,
+                   bool aHasLostMember)
+{
+  if (aSyncReplicas == 0 || aHasLostMember || aInherited.mOnlyPrimaryHasAll) {
+    return std::nullopt;
+  }
+  std::optional<log_position> newest;
+  for (const failover_member& member : aMembers) {
+    if (member.mId == aPrimary) {
+      continue;
+    }
+    if (!member.mHasLog || (!member.mStopped && !member.mReportedAfterStop)) {
+      return std::nullopt;
+    }
+    newest = std::max(newest.value_or(aInherited.mFloor), member.mPosition);
+  }
+  return newest;
+}
+
 std::optional<std::string>
 ChooseNextLeader(const std::vector<failover_member>& aMembers,
                  const std::string& aPrimary,
--- a/Source/Decisions/clFailoverPlan.h
+++ b/Source/Decisions/clFailoverPlan.h
@@ -26,6 +26,9 @@
   log_position mPosition{};
   /// False if it is known to have restarted without its log.
   bool mHasLog = true;
+  /// mPosition was reported after the primary had stepped down, so that it
+  /// includes every commit that the instance confirmed.
+  bool mReportedAfterStop = false;
   /// Start time of the incarnation that reported; nothing it reported holds for
   /// a later incarnation of the same instance.
   std::int64_t mStartedAt = 0;
@@ -88,6 +91,17 @@
                         std::uint32_t aSyncReplicas,
                         bool aHasLostMember);
 
+/// Lowest log position that contains every acknowledged commit, since the
+/// replicas have reported all that they confirmed.  Entries of the primary
+/// beyond it were never acknowledged.  Empty if it is not known.
+/// aHasLostMember: see ReplicasHoldEveryCommit.
+std::optional<log_position>
+FindConfirmedFloor(const std::vector<failover_member>& aMembers,
+                   const std::string& aPrimary,
+                   const inherited_commits& aInherited,
+                   std::uint32_t aSyncReplicas,
+                   bool aHasLostMember);
+
 /// Selects the next leader among the stopped instances that have every
 /// acknowledged commit: the longest log; among equal logs one that is not
 /// draining, and then one other than the current primary.
--- a/Source/Decisions/clLeadership.h
+++ b/Source/Decisions/clLeadership.h
@@ -51,6 +51,10 @@
   bool mCommitsStopped = false;
   /// End of the leader's log when it was selected.
   log_position mFloor;
+  /// Lowest position that contains every acknowledged commit, according to the
+  /// other instances; at most mFloor.  Entries beyond it were never
+  /// acknowledged, so that they may be lost with the leader's log.
+  log_position mConfirmedFloor;
   /// Proxy that wrote the record.
   std::string mHolder;
   /// Instances whose promotion was commanded and may have taken effect, or may
--- a/Source/Sessions/clFailoverAttempt.cxx
+++ b/Source/Sessions/clFailoverAttempt.cxx
@@ -79,6 +79,7 @@
   , mHasLeaderNeverLed(false)
   , mRecord(aRecord)
   , mRecordFloor(aRecord.mFloor)
+  , mConfirmedFloor(aRecord.mConfirmedFloor)
   , mUnansweredPromotions(aRecord.mPossibleLeaders)
   , mPendingUntil(aPendingUntil.value_or(aContext.Now()))
   , mDeadline(std::max(mPendingUntil, aContext.Now()) + kMaxAttemptDuration)
@@ -143,6 +144,13 @@
     mRecord.mCommitsStopped = true;
     mRecord.mFloor =
       std::max(InheritedCommits().mFloor, MemberOf(*chosen).mPosition);
+    const auto confirmed = FindConfirmedFloor(mMembers,
+                                              mPrimary,
+                                              InheritedCommits(),
+                                              mGroup.Declared().mSyncReplicas,
+                                              MayHaveLostMember());
+    mRecord.mConfirmedFloor =
+      std::min(mRecord.mFloor, confirmed.value_or(mRecord.mFloor));
     mGroup.Leadership().OnCommitsStopped(mRecord.mFloor, mCommitsStoppedAt);
     AwaitEvidenceExpiry();
     if (!IsStillEligible(*chosen) || !AreCommitsStillStopped()) {
@@ -578,23 +586,46 @@
 failover_attempt::InheritedCommits() const
 {
   const group_leadership& leadership = mGroup.Leadership();
-  return { std::max(mRecordFloor, leadership.LossFloor()),
+  const log_position floor =
+    HasNamedLeaderLostLog() ? mConfirmedFloor : mRecordFloor;
+  return { std::max(floor, leadership.LossFloor()),
            leadership.HasUnknownLoss() &&
              !(mHasLeaderNeverLed && mPrimary == mNamedLeader) };
 }
 
 bool
-failover_attempt::CanExcludePrimary() const
+failover_attempt::HasNamedLeaderLostLog() const
+{
+  if (!mGroup.Find(mNamedLeader)) {
+    return true;
+  }
+  return std::any_of(
+    mMembers.begin(), mMembers.end(), [this](const failover_member& aMember) {
+      const bool hasAnswered = aMember.mTerm != 0;
+      return aMember.mId == mNamedLeader && hasAnswered &&
+             aMember.mPosition < mRecordFloor;
+    });
+}
+
+bool
+failover_attempt::MayHaveLostMember() const
 {
   // A group that has all its instances has replaced each one that it lost.
   constexpr std::size_t kFullGroupSize = 3;
   const group_leadership& leadership = mGroup.Leadership();
-  const bool mayHaveLost =
-    leadership.HasUnknownLoss() || (leadership.HasUnknownHistory() &&
-                                    mGroup.Instances().size() < kFullGroupSize);
+  return leadership.HasUnknownLoss() ||
+         (leadership.HasUnknownHistory() &&
+          mGroup.Instances().size() < kFullGroupSize);
+}
+
+bool
+failover_attempt::CanExcludePrimary() const
+{
   return mReason == failover_reason::CommitsStuck &&
-         ReplicasHoldEveryCommit(
-           mMembers, mPrimary, mGroup.Declared().mSyncReplicas, mayHaveLost);
+         ReplicasHoldEveryCommit(mMembers,
+                                 mPrimary,
+                                 mGroup.Declared().mSyncReplicas,
+                                 MayHaveLostMember());
 }
 
 std::optional<std::string>
@@ -763,18 +794,20 @@
   const log_position end = MemberOf(mPrimary).mPosition;
   const time_point until = Now() + mContext.mSettings.mMaxCatchUpWait;
   while (Now() < until) {
-    auto remaining = InstancesExcept(mGroup, mPrimary);
-    std::erase_if(remaining, [](const auto& aInstance) {
-      return aInstance->mEntry.mDraining;
-    });
-    const auto answers = mGroup.SendToEach(remaining, StatusCommand, 0);
-    for (std::size_t i = 0; i < remaining.size(); ++i) {
-      if (answers[i] && answers[i].value().mReceived >= end) {
-        failover_member& member = MemberOf(remaining[i]->mEntry.mId);
-        // Its log can't grow, since there is no leader.
-        member.mStopped = true;
-        member.mPosition = answers[i].value().mReceived;
-        member.mStartedAt = remaining[i]->mEntry.mStartedAt;
+    const auto others = InstancesExcept(mGroup, mPrimary);
+    const auto answers = mGroup.SendToEach(others, StatusCommand, 0);
+    for (std::size_t i = 0; i < others.size(); ++i) {
+      if (!answers[i]) {
+        continue;
+      }
+      const instance_entry& entry = others[i]->mEntry;
+      failover_member& member = MemberOf(entry.mId);
+      member.mReportedAfterStop = true;
+      member.mPosition = answers[i].value().mReceived;
+      member.mStartedAt = entry.mStartedAt;
+      // The log of a replica can't grow, since there is no leader.
+      member.mStopped = !entry.mDraining && member.mPosition >= end;
+      if (member.mStopped) {
         return;
       }
     }
--- a/Source/Sessions/clFailoverAttempt.h
+++ b/Source/Sessions/clFailoverAttempt.h
@@ -125,7 +125,7 @@
   /// mBusyInstanceTimeout.
   eligibility AwaitEligibility(upstream_instance& aChosen);
   /// Waits up to mMaxCatchUpWait until a replica has the whole log of the
-  /// leader that stepped down.
+  /// leader that stepped down, and records what the replicas have.
   void AwaitCaughtUpReplica();
   /// Instances that may lead beside mPrimary: those whose promotion was
   /// commanded without a response, and those that may lead unseen.
@@ -137,6 +137,12 @@
   /// Acknowledged commits from before the attempt that the next leader must
   /// have.  Possibly no member has them.
   inherited_commits InheritedCommits() const;
+  /// True if an instance other than the primary may have left with the only
+  /// copy of a commit besides the primary's.
+  bool MayHaveLostMember() const;
+  /// True if the named leader left, or answered without the log that it had
+  /// when it was chosen.
+  bool HasNamedLeaderLostLog() const;
   /// True if the leader's commits are stuck and the replicas together have
   /// every acknowledged commit, so that one of them can be chosen.
   bool CanExcludePrimary() const;
@@ -175,6 +181,8 @@
   /// Lowest log position for a new leader, from the record that the attempt
   /// replaces.
   log_position mRecordFloor;
+  /// The same if the leader lost its log.
+  log_position mConfirmedFloor;
   std::vector<failover_member> mMembers;
   /// Instances whose promotion command got no response.
   std::vector<std::string> mUnansweredPromotions;
--- a/Source/Sessions/clStoreKeys.cxx
+++ b/Source/Sessions/clStoreKeys.cxx
@@ -23,6 +23,8 @@
     { "leader", aRecord.mLeader },
     { "floor_term", aRecord.mFloor.mTerm },
     { "floor_index", aRecord.mFloor.mIndex },
+    { "confirmed_floor_term", aRecord.mConfirmedFloor.mTerm },
+    { "confirmed_floor_index", aRecord.mConfirmedFloor.mIndex },
     { "holder", aRecord.mHolder },
     { "may_lead", std::move(possibleLeaders) },
     { "token", aRecord.mCommand.mToken },
@@ -59,6 +61,11 @@
     record.mLeader = json::value_to<std::string>(body.at("leader"));
     record.mFloor.mTerm = body.at("floor_term").to_number<std::uint64_t>();
     record.mFloor.mIndex = body.at("floor_index").to_number<std::uint64_t>();
+    record.mConfirmedFloor = { NumberOrZero(body, "confirmed_floor_term"),
+                               NumberOrZero(body, "confirmed_floor_index") };
+    if (record.mConfirmedFloor == log_position{}) {
+      record.mConfirmedFloor = record.mFloor;
+    }
     record.mHolder = json::value_to<std::string>(body.at("holder"));
     record.mCommand.mToken = NumberOrZero(body, "token");
     if (record.mCommand.mToken != 0) {
--- a/Tests/Decisions/clFailoverPlanTest.cxx
+++ b/Tests/Decisions/clFailoverPlanTest.cxx
@@ -257,6 +257,29 @@
   CHECK_FALSE(ChooseNextLeader(mMembers, "a", mInherited));
 }
 
+// Issue 44: entries that no replica confirmed were taken for acknowledged.
+TEST_CASE_FIXTURE(failover_plan_fixture,
+                  "confirmed_floor_excludes_entries_of_primary_only")
+{
+  const auto floor = [this](bool aHasLostMember = false) {
+    return FindConfirmedFloor(mMembers, "a", mInherited, 1, aHasLostMember);
+  };
+  Stop("a", { 1, 9 });
+  Stop("b", { 1, 5 });
+  CHECK_FALSE(floor());
+  Member("c").mReportedAfterStop = true;
+  Member("c").mPosition = { 1, 7 };
+  CHECK(floor() == log_position{ 1, 7 });
+  CHECK_FALSE(floor(true));
+  mInherited.mFloor = { 1, 8 };
+  CHECK(floor() == log_position{ 1, 8 });
+  Member("c").mHasLog = false;
+  CHECK_FALSE(floor());
+  Member("c").mHasLog = true;
+  mInherited.mOnlyPrimaryHasAll = true;
+  CHECK_FALSE(floor());
+}
+
 // Issue 44: a former leader may lead on beside a named one that never led.
 TEST_CASE_FIXTURE(failover_plan_fixture,
                   "unseen_leader_commits_until_every_receiver_is_paused")
--- a/Tests/Processes/test_leaderless_groups.py
+++ b/Tests/Processes/test_leaderless_groups.py
@@ -16,6 +16,8 @@
 CRASH_DELAY_S = 0.1
 #: Seconds for which the crashed instance is down.
 DOWN_S = 2
+#: Seconds until a replica receives an entry of a slow leader.
+SLOW_COMMIT_S = 0.2
 #: Seconds between two writes of a caller.
 WRITE_INTERVAL_S = 0.02
 
@@ -154,6 +156,18 @@
             proxy.start()
         self.assert_recovers()
 
+    def test_only_former_leader_had_its_last_entry_other_one_is_promoted(self):
+        """It steps down with entries that no replica received, is chosen for
+        them, and loses them before it leads: they were never acknowledged."""
+        former = self.fleet.leader()
+        former.commit_delay_s = SLOW_COMMIT_S
+        chosen = self.call_on_promotion(self.crash_and_restart_empty)
+        self.drain_leader()
+        wait_until(lambda: chosen and chosen[0].mode == "down")
+        self.assertIs(chosen[0], former)
+        former.commit_delay_s = 0
+        self.assert_recovers()
+
     def test_former_leader_leaves_first_other_instance_is_promoted(self):
         """The loss of the former leader, which has stepped down, is no loss of
         commits that the chosen instance does not show."""
--- a/Tests/Sessions/clStoreKeysTest.cxx
+++ b/Tests/Sessions/clStoreKeysTest.cxx
@@ -11,6 +11,7 @@
   record.mCommitsStopped = true;
   record.mLeader = "i-1";
   record.mFloor = { 3, 1207 };
+  record.mConfirmedFloor = { 3, 1205 };
   record.mHolder = "proxy-1";
   record.mPossibleLeaders = { "i-2", "i-3" };
   record.mCommand = { 1208, "proxy-2" };
@@ -34,6 +35,7 @@
     R"("floor_term":1,"floor_index":2,"holder":"p","may_lead":[]})");
   REQUIRE(read);
   CHECK(read.value().mWrittenIn == 0);
+  CHECK(read.value().mConfirmedFloor == log_position{ 1, 2 });
   CHECK(read.value().mCommand == command_id{});
   CHECK(read.value().mSupersedes == record_version{});
 }
