--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -48,9 +48,7 @@
     }
     for (const auto& [service, group] : mContext.mGroups) {
       TrackPendingCommand(*group, now);
-      const bool declared =
-        mContext.mDesired && mContext.mDesired->mServices.count(service) > 0;
-      if (declared) {
+      if (IsDeclared(service)) {
         CheckGroup(*group, now);
       }
     }
@@ -58,13 +56,20 @@
   }
 }
 
+bool
+failover_runner::IsDeclared(const std::string& aService) const
+{
+  return mContext.mDesired && mContext.mDesired->mServices.count(aService) > 0;
+}
+
 void
 failover_runner::UpdateMetrics() const
 {
   std::uint32_t leaderless = 0;
   for (const auto& [service, group] : mContext.mGroups) {
     const auto leader = group->Leader();
-    leaderless += leader && leader->mReportsPrimary ? 0 : 1;
+    const bool isLed = leader && leader->mReportsPrimary;
+    leaderless += IsDeclared(service) && !isLed ? 1 : 0;
   }
   mContext.mMetrics.mGroupsWithoutLeader.Set(leaderless);
 }
--- a/Source/Sessions/clFailoverRunner.h
+++ b/Source/Sessions/clFailoverRunner.h
@@ -45,6 +45,8 @@
     std::optional<failover_reason> mReason;
   };
 
+  /// True if the desired state in force has the service.
+  bool IsDeclared(const std::string& aService) const;
   void CheckGroup(upstream_group& aGroup, time_point aNow);
   void TrackPendingCommand(upstream_group& aGroup, time_point aNow);
   /// True if the directory lists every running instance of the group: no entry
@@ -60,7 +62,7 @@
   void LogResult(const upstream_group& aGroup,
                  group_check_state& aCheckState,
                  std::string_view aResult) const;
-  /// Counts the groups whose leader is not known to lead.
+  /// Counts the declared groups whose leader is not known to lead.
   void UpdateMetrics() const;
   void StartAttempt(upstream_group& aGroup, failover_reason aReason);
   /// True if the record, which a restore of the store made useless as evidence,
