--- a/Source/Sessions/clFailoverAttempt.cxx
+++ b/Source/Sessions/clFailoverAttempt.cxx
@@ -75,8 +75,6 @@
   , mReason(aReason)
   , mPrimary(aGroup.Leadership().Leader())
   , mNamedLeader(mPrimary)
-  , mIsLeaderUnproven(false)
-  , mHasLeaderNeverLed(false)
   , mRecord(aRecord)
   , mRecordFloor(aRecord.mFloor)
   , mConfirmedFloor(aRecord.mConfirmedFloor)
@@ -85,11 +83,11 @@
   , mDeadline(std::max(mPendingUntil, aContext.Now()) + kMaxAttemptDuration)
 {
   const auto leader = aGroup.Leader();
-  mIsLeaderUnproven = !leader || !leader->mReportsPrimary;
-  mHasLeaderNeverLed = aRecord.mPhase == failover_phase::Complete &&
-                       aRecord.mCommand.mToken != 0 && leader &&
-                       !leader->mHasLed;
-  if (mReason == failover_reason::Leaving && mIsLeaderUnproven) {
+  mMayAnotherLead = !leader || !leader->mReportsPrimary;
+  mNeverSeenLeading = aRecord.mPhase == failover_phase::Complete &&
+                      aRecord.mCommand.mToken != 0 && leader &&
+                      !leader->mHasLed;
+  if (mReason == failover_reason::Leaving && mMayAnotherLead) {
     // Its step-down would stop no commits.
     mReason = failover_reason::NotLeading;
   }
@@ -410,7 +408,7 @@
   if (aMember.mId != mPrimary || aMember.mPausedTerm != 0) {
     return false;
   }
-  if (mIsLeaderUnproven) {
+  if (mMayAnotherLead) {
     const auto primary = mGroup.Find(mPrimary);
     return primary && !primary->mReportsPrimary;
   }
@@ -425,10 +423,10 @@
     mMembers.begin(), mMembers.end(), [&id](const failover_member& aMember) {
       return aMember.mId == id;
     });
-  const bool isPaused =
+  const bool mustPause =
     member != mMembers.end() && MustPauseFormerLeader(*member);
-  return id == mPrimary && !isPaused ? instance_command::StepDown
-                                     : instance_command::Pause;
+  return id == mPrimary && !mustPause ? instance_command::StepDown
+                                      : instance_command::Pause;
 }
 
 void
@@ -527,7 +525,7 @@
   const bool servesItsAddress =
     aInstance.mEntry.mAddress == mGroup.LeaderAddress();
   const bool mayLead =
-    aInstance.mEntry.mId != mPrimary && (servesItsAddress || mIsLeaderUnproven);
+    aInstance.mEntry.mId != mPrimary && (servesItsAddress || mMayAnotherLead);
   log_position newest =
     std::max(InheritedCommits().mFloor, mGroup.Leadership().NewestPosition());
   for (const failover_member& member : mMembers) {
@@ -590,7 +588,7 @@
     HasNamedLeaderLostLog() ? mConfirmedFloor : mRecordFloor;
   return { std::max(floor, leadership.LossFloor()),
            leadership.HasUnknownLoss() &&
-             !(mHasLeaderNeverLed && mPrimary == mNamedLeader) };
+             !(mNeverSeenLeading && mPrimary == mNamedLeader) };
 }
 
 bool
@@ -665,7 +663,7 @@
 failover_attempt::PossibleLeaders() const
 {
   std::vector<std::string> possible = mRecord.mPossibleLeaders;
-  if (mIsLeaderUnproven) {
+  if (mMayAnotherLead) {
     const auto unseen = FindUnseenLeaders(mMembers, mPrimary);
     possible.insert(possible.end(), unseen.begin(), unseen.end());
     if (mPrimary != mNamedLeader && !mGroup.Find(mNamedLeader)) {
--- a/Source/Sessions/clFailoverAttempt.h
+++ b/Source/Sessions/clFailoverAttempt.h
@@ -108,6 +108,7 @@
   /// is back under another name, or is not known to have led.
   bool IsActualPrimary(const upstream_instance& aInstance,
                        const instance_status& aStatus) const;
+  /// From now on aId is the leader to replace.
   void ReplacePrimary(const std::string& aId);
   void StepPrimaryDown();
   bool RevokeLeases();
@@ -171,12 +172,12 @@
   std::string mPrimary;
   /// Leader when the attempt began.
   std::string mNamedLeader;
-  /// It does not report itself as primary: it may never have led, so that
-  /// another instance may lead.
-  bool mIsLeaderUnproven;
-  /// This proxy never saw it lead, so that all commits are those from before
-  /// its promotion, which the record's floor covers.
-  bool mHasLeaderNeverLed;
+  /// The named leader does not report itself as primary: it may never have led,
+  /// so that another instance may lead.
+  bool mMayAnotherLead = false;
+  /// This proxy never saw the named leader lead.  Every acknowledged commit is
+  /// then from before its promotion, and the record's floor covers it.
+  bool mNeverSeenLeading = false;
   failover_record mRecord;
   /// Lowest log position for a new leader, from the record that the attempt
   /// replaces.
