--- a/Tests/Processes/soak_sessions.py
+++ b/Tests/Processes/soak_sessions.py
@@ -664,7 +664,11 @@
         self.check_executed_statements()
         if not self.fenced:
             self.check_tokens()
-        log = [value for _, _, writes in self.fleet.leader().log
+        leader = self.fleet.leader()
+        if not leader:
+            self.observations.record_failure("no instance leads at the end")
+            return
+        log = [value for _, _, writes in leader.log
                for item, value in writes if item.startswith("item")]
         for value in sorted(self.observations.acknowledged):
             if log.count(value) != 1:
