failover: a loss of a member outlasts the proxies

Cause: what a lost instance may have confirmed was known to processes only. A proxy that had started after the loss of a replica listed the leader and the other replica, counted the group as complete, and took the log of the replica that it could pause for one with every acknowledged commit. It served reads from it at once and promoted it unless a longer log came in time.

The address of an instance is logged now, to tell who follows whom.

Change: a membership record for each service names the instances that may have the only replica copy of a commit, with a floor for those that left. A recorded member that a starting proxy has never seen counts as missing, so that all that is done about a missing and a lost instance applies. A lost member that is back under another id at its address has its log.

--- a/Source/Decisions/clLeadership.cxx
+++ b/Source/Decisions/clLeadership.cxx
@@ -238,6 +238,13 @@
   mLostAt = std::max(mLostAt.value_or(aMoment), aMoment);
 }
 
+void
+group_leadership::OnLossesCovered(log_position aFloor)
+{
+  mLossFloor = std::max(mLossFloor, aFloor);
+  mLostAt.reset();
+}
+
 void
 group_leadership::OnMonitoringStarted(time_point aMoment)
 {
--- a/Source/Decisions/clLeadership.h
+++ b/Source/Decisions/clLeadership.h
@@ -214,6 +214,10 @@
   /// had the only copy of an earlier one besides the leader's.
   void OnMemberLost(time_point aMoment);
 
+  /// aFloor covers every commit that the lost instances may have had the only
+  /// replica copy of.
+  void OnLossesCovered(log_position aFloor);
+
   /// Monitoring of the group started at aMoment; losses of members before it
   /// are unknown.
   void OnMonitoringStarted(time_point aMoment);
--- a/Source/Sessions/clClusterStateMonitor.cxx
+++ b/Source/Sessions/clClusterStateMonitor.cxx
@@ -107,6 +107,8 @@
           mContext.Group(service).Leadership().OnRecordChange(
             AbsentRecord(aListing));
         }
+        ApplyAbsentMemberships(aListing);
+        mContext.mAreRecordsListed = true;
         UpdateProxyCount();
       },
       [this](const std::vector<store_event>& aEvents) {
@@ -203,6 +205,10 @@
   if (HasPrefix(aItem.mKey, store_keys::kFailoverPrefix) && !aDeleted) {
     ApplyFailoverRecord(RemovePrefix(aItem.mKey, store_keys::kFailoverPrefix),
                         aItem);
+  } else if (HasPrefix(aItem.mKey, store_keys::kMembershipPrefix) &&
+             !aDeleted) {
+    ApplyMembershipRecord(
+      RemovePrefix(aItem.mKey, store_keys::kMembershipPrefix), aItem);
   } else if (HasPrefix(aItem.mKey, store_keys::kProxyPrefix)) {
     mProxies[RemovePrefix(aItem.mKey, store_keys::kProxyPrefix)] = {
       !aDeleted, mContext.Now()
@@ -341,6 +347,42 @@
   }
 }
 
+void
+cluster_state_monitor::ApplyMembershipRecord(const std::string& aService,
+                                             const store_item& aItem)
+{
+  auto record = DecodeMembershipRecord(aService, aItem.mValue);
+  if (!record) {
+    Log(log_level::Warning,
+        "failover",
+        "Membership record not valid; the last one stays in use. service={} "
+        "cause={}",
+        aService,
+        record.error().mDetail);
+    return;
+  }
+  record.value().mVersion = { aItem.mGeneration, aItem.mRevision };
+  mContext.Group(aService).ApplyMembership(record.value());
+}
+
+void
+cluster_state_monitor::ApplyAbsentMemberships(const store_listing& aListing)
+{
+  for (const auto& [service, group] : mContext.mGroups) {
+    const std::string key =
+      std::string(store_keys::kMembershipPrefix) + service;
+    const bool isListed = std::any_of(
+      aListing.mItems.begin(),
+      aListing.mItems.end(),
+      [&key](const store_item& aItem) { return aItem.mKey == key; });
+    if (!isListed) {
+      membership_record absent;
+      absent.mVersion = { aListing.mGeneration, 0 };
+      group->ApplyMembership(absent);
+    }
+  }
+}
+
 void
 cluster_state_monitor::UpdateProxyCount()
 {
--- a/Source/Sessions/clClusterStateMonitor.h
+++ b/Source/Sessions/clClusterStateMonitor.h
@@ -55,6 +55,10 @@
   void ApplyInternalItem(const store_item& aItem, bool aDeleted);
   void ApplyFailoverRecord(const std::string& aService,
                            const store_item& aItem);
+  void ApplyMembershipRecord(const std::string& aService,
+                             const store_item& aItem);
+  /// Tells the groups that the listing has no membership record of.
+  void ApplyAbsentMemberships(const store_listing& aListing);
   /// Names of the services that the listing has no failover record of.
   std::vector<std::string> ServicesWithoutRecord(
     const store_listing& aListing) const;
@@ -89,7 +93,8 @@
   leadership_lease mLeadershipLease;
   store_watcher mDesiredStateWatcher;
   store_watcher mDirectory;
-  /// Watches the failover records and the registrations of proxies.
+  /// Watches the failover and membership records, and the registrations of
+  /// proxies.
   store_watcher mInternalWatcher;
   std::map<std::string, instance_entry> mInstances;
   std::map<std::string, proxy_registration> mProxies;
--- a/Source/Sessions/clFailoverAttempt.cxx
+++ b/Source/Sessions/clFailoverAttempt.cxx
@@ -259,14 +259,20 @@
   }
   mHasLoggedNoCandidate = true;
   const inherited_commits inherited = InheritedCommits();
+  std::vector<std::string> lost;
+  for (const instance_entry& loss : mGroup.UncoveredLosses()) {
+    lost.push_back(loss.mId);
+  }
   Log(log_level::Info,
       "failover",
       "No instance may lead without loss yet; attempt retries until its "
-      "deadline. service={} floor={}.{} unknown_loss={} unanswered_orders={}",
+      "deadline. service={} floor={}.{} unknown_loss={} lost=[{}] "
+      "unanswered_orders={}",
       mGroup.Service(),
       inherited.mFloor.mTerm,
       inherited.mFloor.mIndex,
       inherited.mOnlyPrimaryHasAll,
+      fmt::join(lost, ","),
       mUnansweredPromotions.size());
 }
 
@@ -479,7 +485,7 @@
              std::max(aInstance.mPreviousLogEnd, aInstance.mPosition);
     // The commits of a leader have been confirmed by others.
     if (!hasLog && isPause && member.mId != mNamedLeader) {
-      mGroup.Leadership().OnMemberLost(Now());
+      mGroup.RecordLoss(aInstance.mEntry, Now());
     }
     if (IsActualPrimary(aInstance, status)) {
       Log(log_level::Info,
@@ -586,11 +592,28 @@
   const group_leadership& leadership = mGroup.Leadership();
   const log_position floor =
     HasNamedLeaderLostLog() ? mConfirmedFloor : mRecordFloor;
-  return { std::max(floor, leadership.LossFloor()),
-           leadership.HasUnknownLoss() &&
+  return { std::max(
+             { floor, leadership.LossFloor(), mGroup.Membership().mFloor }),
+           leadership.HasUnknownLoss() && !HaveLostMembersReturned() &&
              !(mNeverSeenLeading && mPrimary == mNamedLeader) };
 }
 
+bool
+failover_attempt::HaveLostMembersReturned() const
+{
+  const auto losses = mGroup.UncoveredLosses();
+  const auto hasReturned = [this](const instance_entry& aLoss) {
+    return std::any_of(
+      mMembers.begin(), mMembers.end(), [&](const failover_member& aMember) {
+        const auto instance = mGroup.Find(aMember.mId);
+        return instance && aMember.mId != aLoss.mId && aMember.mStopped &&
+               aMember.mHasLog && instance->mEntry.mAddress == aLoss.mAddress;
+      });
+  };
+  return !losses.empty() &&
+         std::all_of(losses.begin(), losses.end(), hasReturned);
+}
+
 bool
 failover_attempt::HasNamedLeaderLostLog() const
 {
--- a/Source/Sessions/clFailoverAttempt.h
+++ b/Source/Sessions/clFailoverAttempt.h
@@ -138,6 +138,9 @@
   /// Acknowledged commits from before the attempt that the next leader must
   /// have.  Possibly no member has them.
   inherited_commits InheritedCommits() const;
+  /// True if each lost member is back under another id and has stopped: the
+  /// instance that follows at its address has its log.
+  bool HaveLostMembersReturned() const;
   /// True if an instance other than the primary may have left with the only
   /// copy of a commit besides the primary's.
   bool MayHaveLostMember() const;
--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -4,6 +4,7 @@
 #include "clStoreKeys.h"
 
 #include <algorithm>
+#include <fmt/ranges.h>
 #include <functional>
 
 namespace catkinloom {
@@ -26,6 +27,9 @@
 /// Time without checks of a group whose leader could not be proved.
 constexpr milliseconds kRewriteRetryDelay{ 500 };
 
+/// Delay before a membership record that was not written is written again.
+constexpr milliseconds kMembershipRetryDelay{ 500 };
+
 /// A check later than this shows that this process itself was suspended, so
 /// that its view of which instances are unresponsive is not valid.
 constexpr milliseconds kMaxCheckDelay{ 150 };
@@ -49,6 +53,7 @@
     for (const auto& [service, group] : mContext.mGroups) {
       TrackPendingCommand(*group, now);
       if (IsDeclared(service)) {
+        CheckMembership(*group, now);
         CheckGroup(*group, now);
       }
     }
@@ -104,12 +109,82 @@
     mContext.mSettings.mUnansweredCommandLifetime);
 }
 
+milliseconds
+failover_runner::StaggerOf(const upstream_group& aGroup) const
+{
+  return milliseconds(
+    std::hash<std::string>()(mContext.Name() + "/" + aGroup.Service()) %
+    static_cast<std::size_t>(kMaxRewriteStagger.count()));
+}
+
+void
+failover_runner::CheckMembership(upstream_group& aGroup, time_point aNow)
+{
+  group_check_state& checkState = mCheckStates[aGroup.Service()];
+  const bool isReady =
+    mContext.mAreRecordsListed && mContext.mStoreReachedSince;
+  if (!isReady || aGroup.Instances().empty() ||
+      checkState.mIsWritingMembership) {
+    return;
+  }
+  const auto next = NextMembership(aGroup.Membership(), aGroup.Observe());
+  if (!next) {
+    checkState.mMembershipDueAt.reset();
+    return;
+  }
+  if (!checkState.mMembershipDueAt) {
+    checkState.mMembershipDueAt = aNow + StaggerOf(aGroup);
+  }
+  if (aNow < *checkState.mMembershipDueAt) {
+    return;
+  }
+  checkState.mIsWritingMembership = true;
+  mContext.mLoop.Spawn([this, &aGroup, &checkState, record = *next] {
+    WriteMembership(aGroup, record);
+    checkState.mIsWritingMembership = false;
+    checkState.mMembershipDueAt = mContext.Now() + kMembershipRetryDelay;
+  });
+}
+
+void
+failover_runner::WriteMembership(upstream_group& aGroup,
+                                 membership_record aRecord)
+{
+  const record_version version = aRecord.mVersion;
+  const auto written = mContext.mPorts.mStore.Put(
+    std::string(store_keys::kMembershipPrefix) + aGroup.Service(),
+    EncodeMembershipRecord(aRecord),
+    version.mRevision,
+    0,
+    mContext.mSettings.mStoreTimeout);
+  const bool isDone = written &&
+                      written.value().mGeneration == version.mGeneration &&
+                      written.value().mOutcome == store_write_outcome::Written;
+  std::vector<std::string> members;
+  for (const instance_entry& member : aRecord.mMembers) {
+    members.push_back(member.mId);
+  }
+  Log(log_level::Info,
+      "failover",
+      "Membership record written; a proxy that starts later knows these "
+      "members. service={} members=[{}] floor={}.{} done={}",
+      aGroup.Service(),
+      fmt::join(members, ","),
+      aRecord.mFloor.mTerm,
+      aRecord.mFloor.mIndex,
+      isDone);
+  if (isDone) {
+    aRecord.mVersion.mRevision = written.value().mRevision;
+    aGroup.ApplyMembership(aRecord);
+  }
+}
+
 bool
 failover_runner::IsDirectoryComplete(const upstream_group& aGroup,
                                      time_point aNow) const
 {
   const auto& since = mContext.mStoreReachedSince;
-  if (!since) {
+  if (!since || !mContext.mAreRecordsListed) {
     return false;
   }
   const auto& listedAt = mContext.mDirectoryListedAt;
@@ -156,11 +231,8 @@
   if (record.IsCurrent() || record.mPhase != failover_phase::Complete) {
     return false;
   }
-  const auto stagger = milliseconds(
-    std::hash<std::string>()(mContext.Name() + "/" + aGroup.Service()) %
-    static_cast<std::size_t>(kMaxRewriteStagger.count()));
   const milliseconds delay =
-    kRestoreDelay + stagger +
+    kRestoreDelay + StaggerOf(aGroup) +
     (leadership.KnowsRecord() ? milliseconds(0) : kNoRecordDelay);
   return aNow - aCheckState.mRecordSeenSince >= delay;
 }
--- a/Source/Sessions/clFailoverRunner.h
+++ b/Source/Sessions/clFailoverRunner.h
@@ -32,6 +32,9 @@
     record_version mSeenRecordVersion{};
     time_point mRecordSeenSince;
     pending_command mPendingCommand;
+    bool mIsWritingMembership = false;
+    /// When this proxy writes the membership record; empty if it is up to date.
+    std::optional<time_point> mMembershipDueAt;
     /// Result of the latest check, as logged.
     std::string_view mResult;
   };
@@ -49,6 +52,12 @@
   bool IsDeclared(const std::string& aService) const;
   void CheckGroup(upstream_group& aGroup, time_point aNow);
   void TrackPendingCommand(upstream_group& aGroup, time_point aNow);
+  /// Delay of this proxy's writes of a group's records.  It differs between the
+  /// proxies, so that mostly one of them writes.
+  milliseconds StaggerOf(const upstream_group& aGroup) const;
+  /// Starts to write the membership record if it is not up to date.
+  void CheckMembership(upstream_group& aGroup, time_point aNow);
+  void WriteMembership(upstream_group& aGroup, membership_record aRecord);
   /// True if the directory lists every running instance of the group: no entry
   /// expired during a store outage, or the instances have had time to register
   /// again.
--- a/Source/Sessions/clSessionContext.h
+++ b/Source/Sessions/clSessionContext.h
@@ -87,6 +87,9 @@
   /// Time of the last complete listing of the directory; empty if there was
   /// none.
   std::optional<time_point> mDirectoryListedAt;
+  /// The keys of the proxies were listed completely, the membership records
+  /// among them.
+  bool mAreRecordsListed = false;
   /// Notified when the store responds again.
   fiber_signal mStoreReached;
   bool mDraining = false;
--- a/Source/Sessions/clStoreKeys.cxx
+++ b/Source/Sessions/clStoreKeys.cxx
@@ -86,4 +86,53 @@
   }
 }
 
+std::string
+EncodeMembershipRecord(const membership_record& aRecord)
+{
+  json::array members;
+  for (const instance_entry& member : aRecord.mMembers) {
+    members.push_back(json::object{
+      { "id", member.mId },
+      { "address", member.mAddress },
+      { "zone", member.mZone },
+      { "slots", member.mSlots },
+      { "started_at_ms", member.mStartedAt },
+    });
+  }
+  const json::object body{
+    { "members", std::move(members) },
+    { "floor_term", aRecord.mFloor.mTerm },
+    { "floor_index", aRecord.mFloor.mIndex },
+  };
+  return json::serialize(body);
+}
+
+result<membership_record>
+DecodeMembershipRecord(const std::string& aService, std::string_view aValue)
+{
+  try {
+    const json::value parsed = json::parse({ aValue.data(), aValue.size() });
+    const json::object& body = parsed.as_object();
+    membership_record record;
+    record.mFloor.mTerm = body.at("floor_term").to_number<std::uint64_t>();
+    record.mFloor.mIndex = body.at("floor_index").to_number<std::uint64_t>();
+    for (const json::value& value : body.at("members").as_array()) {
+      const json::object& fields = value.as_object();
+      instance_entry member;
+      member.mService = aService;
+      member.mId = json::value_to<std::string>(fields.at("id"));
+      member.mAddress = json::value_to<std::string>(fields.at("address"));
+      member.mZone = json::value_to<std::string>(fields.at("zone"));
+      member.mSlots = fields.at("slots").to_number<std::uint32_t>();
+      member.mStartedAt = fields.at("started_at_ms").to_number<std::int64_t>();
+      record.mMembers.push_back(std::move(member));
+    }
+    return record;
+  } catch (const std::exception& failure) {
+    return error{ error_kind::BadManifest,
+                  std::string("membership record is not valid: ") +
+                    failure.what() };
+  }
+}
+
 } // namespace catkinloom
--- a/Source/Sessions/clStoreKeys.h
+++ b/Source/Sessions/clStoreKeys.h
@@ -2,6 +2,7 @@
 
 #include "clError.h"
 #include "clLeadership.h"
+#include "clMembershipRecord.h"
 
 #include <string>
 #include <string_view>
@@ -14,6 +15,8 @@
 constexpr std::string_view kInternalPrefix = "catkinloom/";
 /// One failover record for each service.
 constexpr std::string_view kFailoverPrefix = "catkinloom/failover/";
+/// One membership record for each service.
+constexpr std::string_view kMembershipPrefix = "catkinloom/members/";
 /// One key for each running proxy, attached to its registration lease.
 constexpr std::string_view kProxyPrefix = "catkinloom/proxies/";
 /// One key for each proxy that names its leadership lease and is attached to
@@ -31,4 +34,13 @@
 result<failover_record>
 DecodeFailoverRecord(std::string_view aValue);
 
+/// Encodes a membership record as JSON, without its version.
+std::string
+EncodeMembershipRecord(const membership_record& aRecord);
+
+/// aService is the group's service.  Errors: BadManifest if the value is not a
+/// valid record.
+result<membership_record>
+DecodeMembershipRecord(const std::string& aService, std::string_view aValue);
+
 } // namespace catkinloom
--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -98,7 +98,132 @@
     mRemovedLeaderAddress = aInstance.mEntry.mAddress;
     return;
   }
-  mLeadership.OnMemberLost(aInstance.mEndedSince.value_or(Now()));
+  RecordLoss(aInstance.mEntry, aInstance.mEndedSince.value_or(Now()));
+}
+
+void
+upstream_group::RecordLoss(const instance_entry& aEntry, time_point aMoment)
+{
+  if (!mLeadership.HasUnknownLoss()) {
+    mLosses.clear();
+  }
+  mLeadership.OnMemberLost(aMoment);
+  if (mLeadership.HasUnknownLoss() && !ContainsIncarnation(mLosses, aEntry)) {
+    mLosses.push_back(aEntry);
+  }
+}
+
+std::vector<instance_entry>
+upstream_group::UncoveredLosses() const
+{
+  return mLeadership.HasUnknownLoss() ? mLosses : std::vector<instance_entry>();
+}
+
+group_observation
+upstream_group::Observe() const
+{
+  group_observation observation;
+  for (const auto& instance : mInstances) {
+    (instance->mMissingSince ? observation.mMissing : observation.mListed)
+      .push_back(instance->mEntry);
+  }
+  observation.mLeader = mLeadership.Leader();
+  observation.mLossFloor = mLeadership.LossFloor();
+  observation.mHasUnknownLoss = mLeadership.HasUnknownLoss();
+  return observation;
+}
+
+void
+upstream_group::ApplyMembership(const membership_record& aRecord)
+{
+  if (aRecord.mVersion <= mMembership.mVersion) {
+    return;
+  }
+  const bool isRestored =
+    aRecord.mVersion.mGeneration != mMembership.mVersion.mGeneration;
+  std::vector<instance_entry> dropped = std::move(mMembership.mMembers);
+  std::erase_if(dropped, [&aRecord](const instance_entry& aMember) {
+    return ContainsIncarnation(aRecord.mMembers, aMember);
+  });
+  const log_position floor = std::max(mMembership.mFloor, aRecord.mFloor);
+  mMembership = aRecord;
+  mMembership.mFloor = floor;
+  std::erase_if(mSeenMembers, [this](const instance_entry& aMember) {
+    const auto instance = Find(aMember.mId);
+    return !ContainsIncarnation(mMembership.mMembers, aMember) &&
+           !(instance && IsSameIncarnation(instance->mEntry, aMember));
+  });
+  if (!isRestored) {
+    ForgetMembers(dropped);
+  }
+  RestoreMembers();
+  NotifyAll();
+}
+
+void
+upstream_group::RestoreMembers()
+{
+  if (!mKnownSince) {
+    return;
+  }
+  for (const instance_entry& member : mMembership.mMembers) {
+    if (ContainsIncarnation(mSeenMembers, member)) {
+      continue;
+    }
+    mSeenMembers.push_back(member);
+    Log(log_level::Info,
+        "directory",
+        "Recorded member has no directory entry; it may have the only copy of "
+        "a commit and counts as missing. service={} instance={} address={}",
+        mService,
+        member.mId,
+        member.mAddress);
+    if (Find(member.mId)) {
+      // A later incarnation took its place.
+      if (member.mId != mLeadership.Leader()) {
+        RecordLoss(member, Now());
+      }
+      continue;
+    }
+    auto instance = std::make_shared<upstream_instance>();
+    instance->mEntry = member;
+    instance->mMissingSince = Now();
+    RecordRole(*instance, false);
+    ProbeMissing(instance);
+    mInstances.push_back(std::move(instance));
+  }
+  SortInstances();
+}
+
+void
+upstream_group::ForgetMembers(const std::vector<instance_entry>& aDropped)
+{
+  std::erase_if(mInstances, [&aDropped](const auto& aInstance) {
+    const bool isForgotten = aInstance->mMissingSince &&
+                             ContainsIncarnation(aDropped, aInstance->mEntry);
+    if (isForgotten) {
+      aInstance->mRemoved = true;
+      aInstance->mIdle.clear();
+    }
+    return isForgotten;
+  });
+  const bool hadLosses = !UncoveredLosses().empty();
+  std::erase_if(mLosses, [&aDropped](const instance_entry& aLoss) {
+    return ContainsIncarnation(aDropped, aLoss);
+  });
+  if (hadLosses && mLosses.empty()) {
+    mLeadership.OnLossesCovered(mMembership.mFloor);
+  }
+}
+
+void
+upstream_group::SortInstances()
+{
+  std::sort(mInstances.begin(),
+            mInstances.end(),
+            [](const auto& aLeft, const auto& aRight) {
+              return aLeft->mEntry.mId < aRight->mEntry.mId;
+            });
 }
 
 std::string
@@ -132,7 +257,8 @@
 void
 upstream_group::ApplyEntries(const std::vector<instance_entry>& aEntries)
 {
-  if (mInstances.empty() && !aEntries.empty()) {
+  const bool isFirst = !mKnownSince && !aEntries.empty();
+  if (isFirst || (mInstances.empty() && !aEntries.empty())) {
     mLeadership.OnMonitoringStarted(Now());
     mKnownSince = Now();
   }
@@ -156,9 +282,10 @@
       Log(log_level::Info,
           "directory",
           "Instance known; statements are placed by it. "
-          "service={} instance={} zone={} leads={} draining={}",
+          "service={} instance={} address={} zone={} leads={} draining={}",
           mService,
           entry.mId,
+          entry.mAddress,
           entry.mZone,
           entry.mLeads,
           entry.mDraining);
@@ -168,6 +295,9 @@
     }
     instance->mEntry = entry;
     instance->mMissingSince.reset();
+    if (!ContainsIncarnation(mSeenMembers, entry)) {
+      mSeenMembers.push_back(entry);
+    }
     if (entry.mLeads) {
       mLeadership.OnDirectoryReport(entry.mId);
     }
@@ -196,11 +326,11 @@
         known->mEntry.mId);
     MarkRemoved(*known);
   }
-  std::sort(
-    next.begin(), next.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft->mEntry.mId < aRight->mEntry.mId;
-    });
   mInstances = std::move(next);
+  SortInstances();
+  if (isFirst) {
+    RestoreMembers();
+  }
   NotifyAll();
 }
 
--- a/Source/Sessions/clUpstreamGroup.h
+++ b/Source/Sessions/clUpstreamGroup.h
@@ -7,6 +7,7 @@
 #include "clFiberSignal.h"
 #include "clInstanceSelector.h"
 #include "clLeadership.h"
+#include "clMembershipRecord.h"
 #include "clPrimaryHealth.h"
 #include "clSessionMetrics.h"
 #include "clStatementConnection.h"
@@ -143,6 +144,25 @@
   /// is missing is removed after mMissingEntryGrace.
   void ApplyEntries(const std::vector<instance_entry>& aEntries);
 
+  /// Adopts the store's record of the members.  A recorded member that this
+  /// proxy has never seen counts as an instance whose entry is missing, so that
+  /// it is either found or lost; one that another proxy dropped is no longer
+  /// awaited.
+  void ApplyMembership(const membership_record& aRecord);
+
+  /// The newest known membership record.
+  const membership_record& Membership() const { return mMembership; }
+
+  /// The group as this proxy knows it, for NextMembership.
+  group_observation Observe() const;
+
+  /// An instance is lost, in the incarnation of aEntry; see
+  /// group_leadership::OnMemberLost.
+  void RecordLoss(const instance_entry& aEntry, time_point aMoment);
+
+  /// Lost members whose commits no known position covers.
+  std::vector<instance_entry> UncoveredLosses() const;
+
   /// Acquires a connection to an instance that meets the requirements.  Errors,
   /// all before anything is sent: Overloaded, NoCurrentPrimary, and
   /// LeaderChanged if the leader is not the one confirmed by evidence.
@@ -219,6 +239,12 @@
   /// Adopts the role that an instance reports.
   void RecordRole(upstream_instance& aInstance, bool aLeads);
   void MarkRemoved(upstream_instance& aInstance);
+  /// Adds the recorded members that this proxy has never seen as instances
+  /// whose entry is missing.
+  void RestoreMembers();
+  void SortInstances();
+  /// Removes what aDropped contains from the missing instances and the losses.
+  void ForgetMembers(const std::vector<instance_entry>& aDropped);
   /// Finds out whether an instance whose directory entry is missing has ended.
   void ProbeMissing(std::shared_ptr<upstream_instance> aInstance);
   /// Updates mEndedSince from the response to an opened connection.
@@ -289,6 +315,12 @@
   declared_service mDeclared;
   std::vector<std::shared_ptr<upstream_instance>> mInstances;
   group_leadership mLeadership;
+  membership_record mMembership;
+  /// Incarnations that this proxy has counted as instances of the group; those
+  /// that are neither recorded nor instances are dropped.
+  std::vector<instance_entry> mSeenMembers;
+  /// Lost members; see UncoveredLosses.
+  std::vector<instance_entry> mLosses;
   fiber_signal mChanged;
   statement_queue mWaiting;
   /// When the first directory entries were received; empty before.
--- a/Tests/Decisions/clLeadershipTest.cxx
+++ b/Tests/Decisions/clLeadershipTest.cxx
@@ -329,6 +329,15 @@
   CHECK(mLeadership.HasUnknownLoss());
 }
 
+TEST_CASE_FIXTURE(leadership_fixture,
+                  "loss_covered_by_recorded_floor_is_no_longer_unknown")
+{
+  mLeadership.OnMemberLost(At(1020));
+  mLeadership.OnLossesCovered({ 1, 60 });
+  CHECK_FALSE(mLeadership.HasUnknownLoss());
+  CHECK(mLeadership.LossFloor() == log_position{ 1, 60 });
+}
+
 TEST_CASE_FIXTURE(leadership_fixture,
                   "history_is_unknown_until_leader_reports_log_end")
 {
--- a/Tests/Sessions/clStoreKeysTest.cxx
+++ b/Tests/Sessions/clStoreKeysTest.cxx
@@ -39,3 +39,30 @@
   CHECK(read.value().mCommand == command_id{});
   CHECK(read.value().mSupersedes == record_version{});
 }
+
+TEST_CASE("membership_record_encoded_and_decoded_is_equal")
+{
+  instance_entry member;
+  member.mId = "i-1";
+  member.mService = "core";
+  member.mAddress = "10.0.0.1:8000";
+  member.mZone = "zone-a";
+  member.mSlots = 3;
+  member.mStartedAt = 1700000000000;
+  membership_record record;
+  record.mMembers = { member, member };
+  record.mMembers.back().mId = "i-2";
+  record.mFloor = { 2, 14 };
+  const auto read =
+    DecodeMembershipRecord("core", EncodeMembershipRecord(record));
+  REQUIRE(read);
+  CHECK(read.value() == record);
+}
+
+TEST_CASE("membership_record_not_valid_is_an_error")
+{
+  CHECK_FALSE(DecodeMembershipRecord("core", "{}"));
+  CHECK_FALSE(DecodeMembershipRecord("core", ""));
+  CHECK_FALSE(DecodeMembershipRecord(
+    "core", R"({"members":[{}],"floor_term":1,"floor_index":2})"));
+}
