failover: a returned leader is known after another proxy takes over

A group whose lost replica may have confirmed commits waits for its leader.

Cause, two steps. An attempt knew the returned leader only while it led; once an attempt had stepped it down, the next one took it for a replica. And the leader's former id, which the directory no longer lists, counted as an instance that may lead unseen, so that nobody was chosen beside it.

Ruled out: the wait itself (log: both instances paused with equal logs, unknown_loss=true, for 20 s), the duty's holder, and the promotion API (no command was sent).

Change: the instance that follows the named leader at its address, with the newest term and every known entry, is the leader to replace, whether it leads or not; the former id has ended then. A leader that was promoted needs an entry of its own term for that, since its promotion may have been void.

--- a/Source/Sessions/clFailoverAttempt.cxx
+++ b/Source/Sessions/clFailoverAttempt.cxx
@@ -464,9 +464,56 @@
     RecordStopResponse(
       *pending[i], commands.at(pending[i].get()), next, answers[i]);
   }
+  AdoptReturnedPrimary();
   EvaluatePauses(mMembers);
 }
 
+void
+failover_attempt::AdoptReturnedPrimary()
+{
+  if (mPrimary != mNamedLeader || mGroup.Find(mNamedLeader)) {
+    return;
+  }
+  log_position newest =
+    std::max(InheritedCommits().mFloor, mGroup.Leadership().NewestPosition());
+  for (const failover_member& member : mMembers) {
+    newest = std::max(newest, member.mPosition);
+  }
+  for (const failover_member& member : mMembers) {
+    const auto instance = mGroup.Find(member.mId);
+    const bool hasReturned =
+      instance && instance->mEntry.mAddress == mGroup.LeaderAddress() &&
+      member.mTerm != 0 && member.mTerm + 1 >= NextTerm() && member.mHasLog &&
+      member.mPosition >= newest;
+    // The promotion of a leader that has nothing of its own term may have been
+    // void, so that another instance led.
+    const bool hasLed = mRecord.mCommand.mToken == 0 ||
+                        member.mPosition.mTerm > mRecordFloor.mTerm;
+    if (hasReturned && hasLed) {
+      Log(log_level::Info,
+          "failover",
+          "Named leader is back under another id; its log counts as the "
+          "leader's. service={} named={} instance={} log={}.{}",
+          mGroup.Service(),
+          mNamedLeader,
+          member.mId,
+          member.mPosition.mTerm,
+          member.mPosition.mIndex);
+      const std::string id = member.mId;
+      ReplacePrimary(id);
+      return;
+    }
+  }
+}
+
+bool
+failover_attempt::HasNamedLeaderReturned() const
+{
+  const auto primary = mGroup.Find(mPrimary);
+  return mPrimary != mNamedLeader && primary &&
+         primary->mEntry.mAddress == mGroup.LeaderAddress();
+}
+
 void
 failover_attempt::RecordStopResponse(upstream_instance& aInstance,
                                      instance_command aCommand,
@@ -689,7 +736,8 @@
   if (mMayAnotherLead) {
     const auto unseen = FindUnseenLeaders(mMembers, mPrimary);
     possible.insert(possible.end(), unseen.begin(), unseen.end());
-    if (mPrimary != mNamedLeader && !mGroup.Find(mNamedLeader)) {
+    if (mPrimary != mNamedLeader && !mGroup.Find(mNamedLeader) &&
+        !HasNamedLeaderReturned()) {
       possible.push_back(mNamedLeader);
     }
   }
--- a/Source/Sessions/clFailoverAttempt.h
+++ b/Source/Sessions/clFailoverAttempt.h
@@ -108,6 +108,13 @@
   /// is back under another name, or is not known to have led.
   bool IsActualPrimary(const upstream_instance& aInstance,
                        const instance_status& aStatus) const;
+  /// Makes the instance that follows the named leader at its address the leader
+  /// to replace, if it has everything that is known of the leader's log.  It
+  /// need not lead: an earlier attempt may have stepped it down.
+  void AdoptReturnedPrimary();
+  /// True if the leader to replace is the named one under another id, so that
+  /// the named one has ended.
+  bool HasNamedLeaderReturned() const;
   /// From now on aId is the leader to replace.
   void ReplacePrimary(const std::string& aId);
   void StepPrimaryDown();
--- a/Tests/Processes/test_restarted_proxies.py
+++ b/Tests/Processes/test_restarted_proxies.py
@@ -15,6 +15,8 @@
 #: Seconds for which the group is observed after the restart, longer than until
 #: a missing instance is lost and an attempt has chosen a leader.
 OBSERVED_S = 5
+#: Key of the failover record of the group.
+FAILOVER_RECORD = "catkinloom/failover/core"
 #: Seconds between two statements of a caller.
 INTERVAL_S = 0.05
 
@@ -172,6 +174,25 @@
         self.fleet.run(self.fleet.return_as(self.leader, "i-5"))
         self.assert_recovers_without_loss()
 
+    def test_stepped_down_leader_returns_under_another_id_is_promoted(self):
+        """Regression test for review/13.
+
+        An attempt had stepped it down and was taken over.  The next attempts
+        did not know it, and the group had no leader again.
+        """
+        self.lose(self.confirming)
+        self.fleet.run(self.leader.crash())
+        self.restart_proxies()
+        self.use_leader_in_background()
+        wait_until(lambda: FAILOVER_RECORD in self.fleet.store.items)
+        self.fleet.run(self.fleet.store.delete("servers/i-1"))
+        time.sleep(OBSERVED_S)
+        self.assertEqual(self.fleet.promotions, [])
+        self.lagging.replication_blocked = False
+        self.leader.is_leader = False
+        self.fleet.run(self.fleet.return_as(self.leader, "i-5"))
+        self.assert_recovers_without_loss()
+
     def test_replica_left_before_restart_other_one_is_promoted(self):
         """What a former member confirmed is known to the one that stayed."""
         self.lagging.replication_blocked = False
