sessions: a drain answers every statement before the process ends

Cause: the time of a statement was bounded by its route only. A drain that reached its time-out cut the sessions, whether a statement ran on them or not.

Hypotheses: (1) the process ends late or is killed: the log has "Drain finished" at 5.6 s, 0.4 s before SIGKILL; (2) the read is lost at the instance: its second try was under way there and would have been answered 0.2 s later; (3) nothing relates the statement to the end: sessions_cut=1. The log tells now how many statements were cut.

Change: SIGTERM sets a time, 0.2 s before the end, by which every statement has a response or an error. It bounds the waits, tries and time-outs of a statement whenever it was taken; exchanges that were sent before the signal with a later time-out are broken off then, so that a read fails and a write is in doubt.

--- a/Source/Sessions/clSessionContext.h
+++ b/Source/Sessions/clSessionContext.h
@@ -93,6 +93,9 @@
   /// Notified when the store responds again.
   fiber_signal mStoreReached;
   bool mDraining = false;
+  /// While this proxy drains: when it ends idle transactions and begins no more
+  /// of them.
+  std::optional<time_point> mTransactionsEndAt;
 };
 
 } // namespace catkinloom
--- a/Source/Sessions/clSessionDaemon.cxx
+++ b/Source/Sessions/clSessionDaemon.cxx
@@ -4,6 +4,7 @@
 #include "clEndpoint.h"
 #include "clLog.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace catkinloom {
@@ -200,7 +201,11 @@
   if (mContext.mDraining) {
     return;
   }
+  const session_settings& settings = mContext.mSettings;
+  const time_point now = mContext.Now();
   mContext.mDraining = true;
+  mContext.mTransactionsEndAt = now + settings.mDrainTransactionTimeout;
+  mContext.mUpstreams.mStatementsEndAt = now + settings.mDrainStatementTimeout;
   Log(log_level::Info,
       "daemon",
       "Drain started; open sessions get time to end. sessions={}",
@@ -218,12 +223,17 @@
     const std::vector<std::shared_ptr<caller_session>> sessions(
       mSessions.begin(), mSessions.end());
     const time_point now = mContext.Now();
-    const bool cutTransactions =
-      now >= start + settings.mDrainTransactionTimeout;
+    const bool cutTransactions = now >= *mContext.mTransactionsEndAt;
     if (now >= start + settings.mDrainAcceptTime) {
       boost::system::error_code ignored;
       mAcceptor.close(ignored);
     }
+    if (now >= *mContext.mUpstreams.mStatementsEndAt) {
+      // Statements that were sent before the drain have a later time-out.
+      for (const auto& [service, group] : mContext.mGroups) {
+        group->BreakOffExchanges();
+      }
+    }
     for (const auto& session : sessions) {
       const bool idleTransaction =
         session->IsInTransaction() && !session->IsProcessing();
@@ -241,10 +251,16 @@
   }
   boost::system::error_code ignored;
   mAcceptor.close(ignored);
+  const auto statementsCut =
+    std::count_if(mSessions.begin(), mSessions.end(), [](const auto& aSession) {
+      return aSession->IsProcessing();
+    });
   Log(log_level::Info,
       "daemon",
-      "Drain finished; remaining sessions are cut. sessions_cut={}",
-      mSessions.size());
+      "Drain finished; remaining sessions are cut. sessions_cut={} "
+      "statements_cut={}",
+      mSessions.size(),
+      statementsCut);
   mStateMonitor.Deregister();
   for (const auto& [service, group] : mContext.mGroups) {
     group->CloseAllIdle();
--- a/Source/Sessions/clSessionSettings.cxx
+++ b/Source/Sessions/clSessionSettings.cxx
@@ -9,6 +9,9 @@
 /// Time reserved at the end of the grace period for the process to exit.
 constexpr milliseconds kExitMargin{ 400 };
 
+/// Time reserved at the end of a drain for sending the last responses.
+constexpr milliseconds kResponseMargin{ 200 };
+
 /// Percentage of the grace period in which new callers are accepted.
 constexpr int kDrainAcceptPercent = 58;
 
@@ -30,6 +33,8 @@
   settings.mDrainTimeout =
     std::max(aBounds.mTerminationGracePeriod - kExitMargin,
              aBounds.mTerminationGracePeriod / 2);
+  settings.mDrainStatementTimeout = std::max(
+    settings.mDrainTimeout - kResponseMargin, settings.mDrainTimeout / 2);
   settings.mDrainTransactionTimeout = aBounds.mTerminationGracePeriod / 2;
   settings.mDrainAcceptTime = std::min(
     std::max(aBounds.mTerminationGracePeriod * kDrainAcceptPercent / 100,
--- a/Source/Sessions/clSessionSettings.h
+++ b/Source/Sessions/clSessionSettings.h
@@ -124,6 +124,9 @@
   milliseconds mDrainIdleTime{ 500 };
   /// Time after the start of a drain in which new callers are accepted.
   milliseconds mDrainAcceptTime{ 3500 };
+  /// Time after the start of a drain by which every statement has a response or
+  /// an error.
+  milliseconds mDrainStatementTimeout{ 5400 };
   /// Time after the start of a drain at which the process exits, even if
   /// sessions are open.
   milliseconds mDrainTimeout{ 5600 };
--- a/Source/Sessions/clStatementService.cxx
+++ b/Source/Sessions/clStatementService.cxx
@@ -87,6 +87,10 @@
   if (aSession.mTransaction) {
     return Fail(statement_error::Malformed, "a transaction is open");
   }
+  const auto& transactionsEndAt = mContext.mTransactionsEndAt;
+  if (transactionsEndAt && mContext.Now() >= *transactionsEndAt) {
+    return Fail(statement_error::Busy, "the proxy ends");
+  }
   if (!ResolveRoute(aSession)) {
     return Fail(statement_error::NoSuchDatabase, aSession.mDatabase);
   }
@@ -150,6 +154,9 @@
                           const statement& aStatement,
                           time_point aReceivedAt)
 {
+  if (!aSession.mTransaction && IsEnding()) {
+    return Fail(statement_error::Busy, "the proxy ends");
+  }
   access_mode mode = aStatement.mKind == statement_kind::Write
                        ? access_mode::Write
                        : access_mode::Read;
@@ -177,10 +184,23 @@
 nanoseconds
 statement_service::RemainingTime(const retry_state& aRetry) const
 {
-  return std::max<nanoseconds>(aRetry.mDeadline - mContext.Now(),
+  return std::max<nanoseconds>(DeadlineOf(aRetry) - mContext.Now(),
                                milliseconds(1));
 }
 
+time_point
+statement_service::DeadlineOf(const retry_state& aRetry) const
+{
+  return mContext.mUpstreams.LimitDeadline(aRetry.mDeadline);
+}
+
+bool
+statement_service::IsEnding() const
+{
+  const auto& end = mContext.mUpstreams.mStatementsEndAt;
+  return end && mContext.Now() + kMinAnswerTimeout >= *end;
+}
+
 nanoseconds
 statement_service::AnswerTimeoutFor(const upstream_instance& aInstance,
                                     const retry_state& aRetry) const
@@ -211,7 +231,7 @@
 {
   group_leadership& leadership = aGroup.Leadership();
   const time_point until = std::min(
-    aRetry.mDeadline, mContext.Now() + mContext.mSettings.mMaxEvidenceWait);
+    DeadlineOf(aRetry), mContext.Now() + mContext.mSettings.mMaxEvidenceWait);
   if (leadership.NeedsEvidence(mContext.Now())) {
     mContext.mRefreshLeadership();
   }
@@ -299,7 +319,7 @@
   const result<acquired_connection>& aAcquired,
   const retry_state& aRetry) const
 {
-  return !aAcquired && mContext.Now() < aRetry.mDeadline &&
+  return !aAcquired && mContext.Now() < DeadlineOf(aRetry) &&
          aAcquired.error().mKind == error_kind::LeaderChanged;
 }
 
@@ -376,14 +396,15 @@
     aMode == access_mode::Read &&
     (!aReply.IsAnswered() || aReply.HasError(statement_error::Failed));
   if (!(notExecuted || isRepeatable) || aRetry.mAttempts >= kMaxAttempts ||
-      mContext.Now() >= aRetry.mDeadline) {
+      mContext.Now() >= DeadlineOf(aRetry)) {
     return false;
   }
   mContext.mMetrics.mRetries.Increment();
   if (aReply.HasError(statement_error::ReadOnly)) {
     mContext.mRefreshLeadership();
-    aGroup.Changed().WaitUntil(std::min(
-      aRetry.mDeadline, mContext.Now() + mContext.mSettings.mLeaderRetryDelay));
+    aGroup.Changed().WaitUntil(
+      std::min(DeadlineOf(aRetry),
+               mContext.Now() + mContext.mSettings.mLeaderRetryDelay));
     return true;
   }
   const bool isLeader = aInstance.mEntry.mId == aGroup.Leadership().Leader();
@@ -436,7 +457,7 @@
           aSession, group, connection, prepared, RemainingTime(aRetry))) {
       group.ReleaseConnection(std::move(connection));
       if (aRetry.mAttempts < kMaxAttempts &&
-          mContext.Now() < aRetry.mDeadline) {
+          mContext.Now() < DeadlineOf(aRetry)) {
         continue;
       }
       return Fail(statement_error::Busy,
@@ -594,7 +615,7 @@
       reply.HasError(statement_error::Busy) &&
       reply.mPhase == session_phase::InTransaction &&
       aRetry.mAttempts < kMaxAttempts &&
-      mContext.Now() + mContext.mSettings.mBusyRetryDelay < aRetry.mDeadline;
+      mContext.Now() + mContext.mSettings.mBusyRetryDelay < DeadlineOf(aRetry);
     if (!mayRetry) {
       return reply;
     }
--- a/Source/Sessions/clStatementService.h
+++ b/Source/Sessions/clStatementService.h
@@ -220,7 +220,13 @@
   {
     return mContext.Group(aSession.mRoute->mService);
   }
+  /// Deadline of the statement; earlier than that of its route while the proxy
+  /// drains.
+  time_point DeadlineOf(const retry_state& aRetry) const;
   nanoseconds RemainingTime(const retry_state& aRetry) const;
+  /// True if the process ends before a new statement is likely to have its
+  /// response.
+  bool IsEnding() const;
   /// Time limit for the response to one attempt.  The first attempt gets less
   /// than the remaining time, so that a lost response leaves time for a retry.
   nanoseconds AnswerTimeoutFor(const upstream_instance& aInstance,
--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -394,9 +394,11 @@
 upstream_group::AcquireConnection(const connection_request& aRequest)
 {
   const instance_requirements& requirements = aRequest.mRequirements;
-  const time_point leaderUntil =
-    std::min(aRequest.mDeadline, Now() + mEnvironment.mSettings.mMaxLeaderWait);
+  const time_point maxLeaderWaitEnd =
+    Now() + mEnvironment.mSettings.mMaxLeaderWait;
   while (true) {
+    const time_point deadline = mEnvironment.LimitDeadline(aRequest.mDeadline);
+    const time_point leaderUntil = std::min(deadline, maxLeaderWaitEnd);
     if (HasLostEvidence(aRequest)) {
       return error{ error_kind::LeaderChanged, "the leader changed" };
     }
@@ -417,7 +419,7 @@
                     "neither store nor leader reached" };
     }
     const bool busy = chosen.mResult != selection_result::NoneUsable;
-    const time_point until = busy ? aRequest.mDeadline : leaderUntil;
+    const time_point until = busy ? deadline : leaderUntil;
     if (now >= until) {
       return error{ busy ? error_kind::Overloaded
                          : error_kind::NoCurrentPrimary,
@@ -638,7 +640,10 @@
   const time_point start = Now();
   instance->mHealth.RecordSent(start, isCommit);
   ++instance->mExecuting;
-  statement_reply reply = aAcquired.mConnection->Exchange(aBatch, aTimeout);
+  statement_connection* const connection = aAcquired.mConnection.get();
+  mExchanging.push_back(connection);
+  statement_reply reply = connection->Exchange(aBatch, aTimeout);
+  std::erase(mExchanging, connection);
   if (reply.IsAnswered()) {
     instance->mHealth.RecordAnswered(Now(), isCommit);
     RecordAnswered(*instance);
@@ -932,6 +937,14 @@
   });
 }
 
+void
+upstream_group::BreakOffExchanges()
+{
+  for (statement_connection* connection : mExchanging) {
+    connection->Close();
+  }
+}
+
 void
 upstream_group::CloseAllIdle()
 {
--- a/Source/Sessions/clUpstreamGroup.h
+++ b/Source/Sessions/clUpstreamGroup.h
@@ -13,6 +13,7 @@
 #include "clStatementConnection.h"
 #include "clStatementQueue.h"
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -127,6 +128,15 @@
   std::uint32_t mProxies = 1;
   /// When this proxy started.
   time_point mStartedAt;
+  /// Time by which every statement has a response or an error, since the
+  /// process ends soon after; empty while it does not drain.
+  std::optional<time_point> mStatementsEndAt;
+
+  /// The earlier one of a statement's deadline and mStatementsEndAt.
+  time_point LimitDeadline(time_point aDeadline) const
+  {
+    return std::min(aDeadline, mStatementsEndAt.value_or(aDeadline));
+  }
 };
 
 /// One database group: its instances, its leader and the statements that wait
@@ -232,6 +242,10 @@
 
   void CloseAllIdle();
 
+  /// Closes the connections on which a statement waits for its response, so
+  /// that the statement ends without one.
+  void BreakOffExchanges();
+
   /// Closes connections that were idle for longer than their lifetime.
   void CloseExpiredIdle();
 
@@ -327,6 +341,8 @@
   std::optional<time_point> mKnownSince;
   /// Address of the latest leader that the directory no longer lists.
   std::string mRemovedLeaderAddress;
+  /// Connections on which a statement waits for its response.
+  std::vector<statement_connection*> mExchanging;
   bool mIsPollingGroup = false;
   bool mIsIdleCleanupScheduled = false;
   bool mIsPollingLeader = false;
--- a/Tests/Sessions/clSessionSettingsTest.cxx
+++ b/Tests/Sessions/clSessionSettingsTest.cxx
@@ -37,6 +37,8 @@
     const session_settings settings = SettingsOf(text);
     const milliseconds bound = Read(text).mBounds.mTerminationGracePeriod;
     CHECK(settings.mDrainTimeout < bound);
+    CHECK(settings.mDrainStatementTimeout < settings.mDrainTimeout);
+    CHECK(settings.mDrainTransactionTimeout <= settings.mDrainStatementTimeout);
     CHECK(settings.mDrainTransactionTimeout <= bound / 2);
     CHECK(settings.mDrainAcceptTime <= settings.mDrainTimeout);
     CHECK(settings.mDrainNotice <= settings.mDrainAcceptTime);
