failover: a recorded leader that is not listed may have led

A starting proxy adds a recorded member without a directory entry as an instance that has never led. If that is the leader of a complete record, an attempt could take it for one whose promotion had no effect, and leave out of account what a lost replica had confirmed.

Found by reading: it needs an attempt in the half second before the instance is removed. The new test has that order of events; it passed before the change in 3 of 3 runs, too, so that it guards the path without showing the fault.

--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -189,6 +189,8 @@
     instance->mEntry = member;
     instance->mMissingSince = Now();
     RecordRole(*instance, false);
+    // Its role before this process started is not known.
+    instance->mHasLed = true;
     ProbeMissing(instance);
     mInstances.push_back(std::move(instance));
   }
--- a/Tests/Processes/test_restarted_proxies.py
+++ b/Tests/Processes/test_restarted_proxies.py
@@ -193,6 +193,34 @@
         self.fleet.run(self.fleet.return_as(self.leader, "i-5"))
         self.assert_recovers_without_loss()
 
+    def test_promoted_leader_and_replica_lost_other_one_is_not_promoted(self):
+        """A recorded leader that is not listed may have led."""
+        self.fleet.run(self.leader.crash())
+        self.use_leader_in_background()
+        wait_until(self.fleet.leader_is_up, MAX_RECOVERY_S)
+        promoted = self.fleet.leader()
+        self.fleet.run(self.leader.restart())
+        self.lagging.replication_blocked = False
+        writer = self.caller("current")
+        wait_until(lambda: writer.write("item", "newer"), MAX_RECOVERY_S)
+        others = [instance for instance in self.fleet.instances.values()
+                  if instance is not promoted]
+        lagging, confirming = others
+        wait_until(lambda: lagging.log == promoted.log)
+        time.sleep(RECORD_DELAY_S)
+        lagging.replication_blocked = True
+        self.assertTrue(writer.write("item", "new"))
+        promotions = list(self.fleet.promotions)
+        self.stop_proxies()
+        self.lose(confirming)
+        self.lose(promoted)
+        self.start_proxies()
+        time.sleep(OBSERVED_S)
+        self.assertEqual(self.fleet.promotions, promotions)
+        lagging.replication_blocked = False
+        self.fleet.run(self.fleet.return_as(promoted, "i-5"))
+        self.assert_recovers_without_loss()
+
     def test_replica_left_before_restart_other_one_is_promoted(self):
         """What a former member confirmed is known to the one that stayed."""
         self.lagging.replication_blocked = False
