--- a/StandIns/fleet_stand_in.py
+++ b/StandIns/fleet_stand_in.py
@@ -532,7 +532,7 @@
         instance = Instance(self, ident, lost.zone)
         instance.log, instance.term = list(lost.log), lost.term
         instance.is_leader = lost.is_leader
-        instance.address = lost.address
+        instance.address, instance.advertised = lost.address, lost.advertised
         self.instances[ident] = instance
         await instance.restart()
 
--- a/Tests/Processes/soak_sessions.py
+++ b/Tests/Processes/soak_sessions.py
@@ -58,6 +58,8 @@
                    "CONNLIMIT", "NOSUCHDB", "MALFORMED")
 #: Shape of the prepared statements; its words also begin statements.
 SHAPE = "q0 READ vb0"
+#: Number of entries that a replica may still have to receive.
+MAX_LAG_ENTRIES = 10
 #: Seconds between two checks whether a replica has the leader's log.
 POLL_INTERVAL_S = 0.05
 #: Seconds that a caller waits for a response.
@@ -275,7 +277,7 @@
     """A run with one seed."""
 
     def __init__(self, seed, seconds, proxies, folder, fenced=True,
-                 repeating=False, voiding=False):
+                 repeating=False, voiding=False, losing=False):
         self.seed, self.seconds, self.fenced = seed, seconds, fenced
         self.random = random.Random(seed)
         self.observations = Observations()
@@ -283,6 +285,7 @@
         self.version = 2
         #: The instance with an injected fault, or None; only one at a time.
         self.faulted_instance = None
+        self.number_of_returns = 0
         #: A named leader is down, or does not have the whole log yet.
         self.is_voiding = False
         self.fleet = Fleet()
@@ -321,6 +324,8 @@
             self.faults += ((8, self.repeat_responses), (2, self.refuse))
         if voiding:
             self.faults += ((8, self.void_promotion), (6, self.hand_over))
+        if losing:
+            self.faults += ((12, self.lose_confirming_replica),)
 
     def relay(self, target):
         relay = self.fleet.run(Relay(target).start())
@@ -526,6 +531,46 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         self.is_voiding = False
 
+    def lose_confirming_replica(self):
+        """One replica lags and the other one, which confirms, is lost; then
+        the leader is unresponsive and all proxies restart.
+
+        The lost replica returns with its log, under another name.
+        """
+        leader = self.fleet.leader()
+        replicas = [instance for instance in self.fleet.instances.values()
+                    if instance is not leader]
+        is_usable = leader and all(
+            instance.mode == "up" and
+            len(leader.log) - len(instance.log) < MAX_LAG_ENTRIES
+            for instance in (leader, *replicas))
+        if self.faulted_instance or self.is_voiding or not is_usable:
+            return
+        self.random.shuffle(replicas)
+        lagging, lost = replicas
+        self.faulted_instance = lost
+        lagging.replication_blocked = True
+        lost_at = self.random.uniform(0.2, 1.0)
+        dark_at = lost_at + self.random.uniform(0, 2.0)
+        light_at = dark_at + self.random.uniform(4.0, 7.0)
+        back_at = dark_at + self.random.uniform(3.0, 8.0)
+        self.schedule(lost_at, self.remove_instance, lost)
+        self.schedule(dark_at, setattr, leader, "mode", "dark")
+        self.schedule(dark_at, self.kill_all)
+        self.schedule(light_at, setattr, leader, "mode", "up")
+        self.schedule(back_at, self.return_instance, lost)
+        self.schedule(max(light_at, back_at), self.release_instance,
+                      lambda: setattr(lagging, "replication_blocked", False))
+
+    def remove_instance(self, instance):
+        self.fleet.run(instance.crash())
+        self.fleet.run(self.fleet.store.delete("servers/" + instance.ident))
+
+    def return_instance(self, instance):
+        self.number_of_returns += 1
+        self.fleet.run(self.fleet.return_as(
+            instance, f"i-{10 + self.number_of_returns}"))
+
     # Faults of a platform that does not check tokens.
 
     def isolate_next_holder(self):
@@ -697,11 +742,11 @@
 
 
 def run_seed(seed, seconds, proxies, keep, fenced=True, repeating=False,
-             voiding=False):
+             voiding=False, losing=False):
     """Runs one seed; returns the texts of the failed checks."""
     with tempfile.TemporaryDirectory() as folder:
         soak = Soak(seed, seconds, proxies, pathlib.Path(folder), fenced,
-                    repeating, voiding)
+                    repeating, voiding, losing)
         try:
             soak.run()
         finally:
@@ -734,13 +779,17 @@
                         help="instances send some responses twice")
     parser.add_argument("--voiding", action="store_true",
                         help="named leaders crash before they lead")
+    parser.add_argument("--losing", action="store_true",
+                        help="replicas that confirm commits are lost before "
+                             "all proxies restart")
     parser.add_argument("--keep",
                         help="directory in which the proxies' logs are kept")
     options = parser.parse_args()
     failures = [seed for seed in options.seeds
                 if run_seed(seed, options.seconds, options.proxies,
                             options.keep, not options.unfenced,
-                            options.repeating, options.voiding)]
+                            options.repeating, options.voiding,
+                            options.losing)]
     print(f"{len(options.seeds) - len(failures)} passed, "
           f"{len(failures)} failed")
     return 1 if failures else 0
--- a/Tests/Processes/test_soak.py
+++ b/Tests/Processes/test_soak.py
@@ -18,6 +18,8 @@
 REPEATING_SEEDS = (301, 302)
 #: Run with named leaders that crash before they lead (issue 44).
 VOIDING_SEEDS = (401, 402)
+#: Run with replicas that are lost before all proxies restart (review/12).
+LOSING_SEEDS = (503, 508)
 SEED_DURATION_S = 10
 
 
@@ -52,6 +54,15 @@
                     soak_sessions.run_seed(seed, SEED_DURATION_S, 3, keep=None,
                                            voiding=True), [])
 
+    # A restarted proxy did not know of a loss, and took what was left of the
+    # group for complete.
+    def test_seeds_with_lost_replicas_run_without_failures(self):
+        for seed in LOSING_SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(
+                    soak_sessions.run_seed(seed, SEED_DURATION_S, 3, keep=None,
+                                           losing=True), [])
+
 
 if __name__ == "__main__":
     unittest.main()
