failover: a returned leader is compared with all that responded

The instance at the leader's address was taken for the returned leader before another instance had told how long its log is. If that one had more, an instance with less than the leader's log would have counted as the leader.

Found by reading, not shown by a run. The write of a membership record is logged as finished, not as done.

--- a/Source/Sessions/clFailoverAttempt.cxx
+++ b/Source/Sessions/clFailoverAttempt.cxx
@@ -477,13 +477,17 @@
   log_position newest =
     std::max(InheritedCommits().mFloor, mGroup.Leadership().NewestPosition());
   for (const failover_member& member : mMembers) {
+    if (member.mTerm == 0 && member.mId != mPrimary) {
+      // Without its response, the log of another one can't be compared.
+      return;
+    }
     newest = std::max(newest, member.mPosition);
   }
   for (const failover_member& member : mMembers) {
     const auto instance = mGroup.Find(member.mId);
     const bool hasReturned =
       instance && instance->mEntry.mAddress == mGroup.LeaderAddress() &&
-      member.mTerm != 0 && member.mTerm + 1 >= NextTerm() && member.mHasLog &&
+      member.mTerm + 1 >= NextTerm() && member.mHasLog &&
       member.mPosition >= newest;
     // The promotion of a leader that has nothing of its own term may have been
     // void, so that another instance led.
@@ -499,8 +503,7 @@
           member.mId,
           member.mPosition.mTerm,
           member.mPosition.mIndex);
-      const std::string id = member.mId;
-      ReplacePrimary(id);
+      ReplacePrimary(member.mId);
       return;
     }
   }
--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -166,8 +166,8 @@
   }
   Log(log_level::Info,
       "failover",
-      "Membership record written; a proxy that starts later knows these "
-      "members. service={} members=[{}] floor={}.{} done={}",
+      "Membership record write finished; retried later if not done. service={} "
+      "members=[{}] floor={}.{} done={}",
       aGroup.Service(),
       fmt::join(members, ","),
       aRecord.mFloor.mTerm,
