--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -27,8 +27,7 @@
 /// Time without checks of a group whose leader could not be proved.
 constexpr milliseconds kRewriteRetryDelay{ 500 };
 
-/// Additional delay of a write of a membership record, for each proxy: longer
-/// than until the others have seen the write of one of them.
+/// Mean time between the writes that two proxies plan of one membership record.
 constexpr milliseconds kMembershipStagger{ 200 };
 
 /// Delay before a membership record that was not written is written again.
