failover: one piece for records, ids and the newest known position

Behaviour is unchanged.

- The conditional write of a record stood in RewriteRecord and again in WriteMembership: ReplaceRecord serves both.
- ApplyAbsentMemberships searched the listing as ServicesWithoutRecord does, once for each group: the latter takes the prefix now.
- IsActualPrimary and AdoptReturnedPrimary computed the same position: NewestKnownPosition.
Two loops that collected ids: IdsOf.
- ApplyEntries tested for the first entries and for an empty group; without first entries the group is empty.
- A member without an initializer caused a compiler warning in each file.

--- a/Source/Decisions/clMembershipRecord.cxx
+++ b/Source/Decisions/clMembershipRecord.cxx
@@ -46,6 +46,17 @@
     });
 }
 
+std::vector<std::string>
+IdsOf(const std::vector<instance_entry>& aEntries)
+{
+  std::vector<std::string> ids;
+  ids.reserve(aEntries.size());
+  for (const instance_entry& entry : aEntries) {
+    ids.push_back(entry.mId);
+  }
+  return ids;
+}
+
 std::optional<membership_record>
 NextMembership(const membership_record& aRecord,
                const group_observation& aObservation)
--- a/Source/Decisions/clMembershipRecord.h
+++ b/Source/Decisions/clMembershipRecord.h
@@ -37,6 +37,10 @@
 ContainsIncarnation(const std::vector<instance_entry>& aMembers,
                     const instance_entry& aEntry);
 
+/// Ids of aEntries, for log lines.
+std::vector<std::string>
+IdsOf(const std::vector<instance_entry>& aEntries);
+
 /// A group as one proxy knows it.
 struct group_observation
 {
--- a/Source/Sessions/clClusterStateMonitor.cxx
+++ b/Source/Sessions/clClusterStateMonitor.cxx
@@ -41,6 +41,15 @@
   return record;
 }
 
+/// The same for a membership record.
+membership_record
+AbsentMembership(const store_listing& aListing)
+{
+  membership_record record;
+  record.mVersion = { aListing.mGeneration, 0 };
+  return record;
+}
+
 } // namespace
 
 cluster_state_monitor::cluster_state_monitor(session_context& aContext)
@@ -103,11 +112,15 @@
         for (const store_item& item : aListing.mItems) {
           ApplyInternalItem(item, false);
         }
-        for (const std::string& service : ServicesWithoutRecord(aListing)) {
+        for (const std::string& service :
+             ServicesWithoutRecord(aListing, store_keys::kFailoverPrefix)) {
           mContext.Group(service).Leadership().OnRecordChange(
             AbsentRecord(aListing));
         }
-        ApplyAbsentMemberships(aListing);
+        for (const std::string& service :
+             ServicesWithoutRecord(aListing, store_keys::kMembershipPrefix)) {
+          mContext.Group(service).ApplyMembership(AbsentMembership(aListing));
+        }
         mContext.mAreRecordsListed = true;
         UpdateProxyCount();
       },
@@ -365,24 +378,6 @@
   mContext.Group(aService).ApplyMembership(record.value());
 }
 
-void
-cluster_state_monitor::ApplyAbsentMemberships(const store_listing& aListing)
-{
-  for (const auto& [service, group] : mContext.mGroups) {
-    const std::string key =
-      std::string(store_keys::kMembershipPrefix) + service;
-    const bool isListed = std::any_of(
-      aListing.mItems.begin(),
-      aListing.mItems.end(),
-      [&key](const store_item& aItem) { return aItem.mKey == key; });
-    if (!isListed) {
-      membership_record absent;
-      absent.mVersion = { aListing.mGeneration, 0 };
-      group->ApplyMembership(absent);
-    }
-  }
-}
-
 void
 cluster_state_monitor::UpdateProxyCount()
 {
@@ -508,7 +503,8 @@
       leadership.OnRecord(failover_record(leadership.Record()), sentAt);
     }
   }
-  for (const std::string& service : ServicesWithoutRecord(listing.value())) {
+  for (const std::string& service :
+       ServicesWithoutRecord(listing.value(), store_keys::kFailoverPrefix)) {
     mContext.Group(service).Leadership().OnRecord(AbsentRecord(listing.value()),
                                                   sentAt);
   }
@@ -521,13 +517,13 @@
 }
 
 std::vector<std::string>
-cluster_state_monitor::ServicesWithoutRecord(
-  const store_listing& aListing) const
+cluster_state_monitor::ServicesWithoutRecord(const store_listing& aListing,
+                                             std::string_view aPrefix) const
 {
   std::set<std::string> recorded;
   for (const store_item& item : aListing.mItems) {
-    if (HasPrefix(item.mKey, store_keys::kFailoverPrefix)) {
-      recorded.insert(RemovePrefix(item.mKey, store_keys::kFailoverPrefix));
+    if (HasPrefix(item.mKey, aPrefix)) {
+      recorded.insert(RemovePrefix(item.mKey, aPrefix));
     }
   }
   std::vector<std::string> missing;
--- a/Source/Sessions/clClusterStateMonitor.h
+++ b/Source/Sessions/clClusterStateMonitor.h
@@ -57,11 +57,10 @@
                            const store_item& aItem);
   void ApplyMembershipRecord(const std::string& aService,
                              const store_item& aItem);
-  /// Tells the groups that the listing has no membership record of.
-  void ApplyAbsentMemberships(const store_listing& aListing);
-  /// Names of the services that the listing has no failover record of.
+  /// Names of the services that the listing has no key of below aPrefix.
   std::vector<std::string> ServicesWithoutRecord(
-    const store_listing& aListing) const;
+    const store_listing& aListing,
+    std::string_view aPrefix) const;
   /// Drops proxies whose retention has ended and updates the number of proxies
   /// that share the connections.
   void UpdateProxyCount();
--- a/Source/Sessions/clFailoverAttempt.cxx
+++ b/Source/Sessions/clFailoverAttempt.cxx
@@ -259,10 +259,6 @@
   }
   mHasLoggedNoCandidate = true;
   const inherited_commits inherited = InheritedCommits();
-  std::vector<std::string> lost;
-  for (const instance_entry& loss : mGroup.UncoveredLosses()) {
-    lost.push_back(loss.mId);
-  }
   Log(log_level::Info,
       "failover",
       "No instance may lead without loss yet; attempt retries until its "
@@ -272,7 +268,7 @@
       inherited.mFloor.mTerm,
       inherited.mFloor.mIndex,
       inherited.mOnlyPrimaryHasAll,
-      fmt::join(lost, ","),
+      fmt::join(IdsOf(mGroup.UncoveredLosses()), ","),
       mUnansweredPromotions.size());
 }
 
@@ -474,15 +470,15 @@
   if (mPrimary != mNamedLeader || mGroup.Find(mNamedLeader)) {
     return;
   }
-  log_position newest =
-    std::max(InheritedCommits().mFloor, mGroup.Leadership().NewestPosition());
-  for (const failover_member& member : mMembers) {
-    if (member.mTerm == 0 && member.mId != mPrimary) {
-      // Without its response, the log of another one can't be compared.
-      return;
-    }
-    newest = std::max(newest, member.mPosition);
+  const bool haveAllResponded = std::all_of(
+    mMembers.begin(), mMembers.end(), [this](const failover_member& aMember) {
+      return aMember.mTerm != 0 || aMember.mId == mPrimary;
+    });
+  if (!haveAllResponded) {
+    // Without its response, the log of another one can't be compared.
+    return;
   }
+  const log_position newest = NewestKnownPosition();
   for (const failover_member& member : mMembers) {
     const auto instance = mGroup.Find(member.mId);
     const bool hasReturned =
@@ -582,13 +578,19 @@
     aInstance.mEntry.mAddress == mGroup.LeaderAddress();
   const bool mayLead =
     aInstance.mEntry.mId != mPrimary && (servesItsAddress || mMayAnotherLead);
+  return mayLead && aStatus.mLeads && aStatus.mTerm + 1 >= NextTerm() &&
+         aStatus.mReceived >= NewestKnownPosition();
+}
+
+log_position
+failover_attempt::NewestKnownPosition() const
+{
   log_position newest =
     std::max(InheritedCommits().mFloor, mGroup.Leadership().NewestPosition());
   for (const failover_member& member : mMembers) {
     newest = std::max(newest, member.mPosition);
   }
-  return mayLead && aStatus.mLeads && aStatus.mTerm + 1 >= NextTerm() &&
-         aStatus.mReceived >= newest;
+  return newest;
 }
 
 void
--- a/Source/Sessions/clFailoverAttempt.h
+++ b/Source/Sessions/clFailoverAttempt.h
@@ -108,6 +108,9 @@
   /// is back under another name, or is not known to have led.
   bool IsActualPrimary(const upstream_instance& aInstance,
                        const instance_status& aStatus) const;
+  /// Newest position that is known of the leader's log: of its own reports, of
+  /// the members, and of acknowledged commits.
+  log_position NewestKnownPosition() const;
   /// Makes the instance that follows the named leader at its address the leader
   /// to replace, if it has everything that is known of the leader's log.  It
   /// need not lead: an earlier attempt may have stepped it down.
--- a/Source/Sessions/clFailoverRunner.cxx
+++ b/Source/Sessions/clFailoverRunner.cxx
@@ -155,35 +155,41 @@
   });
 }
 
+std::optional<record_version>
+failover_runner::ReplaceRecord(const std::string& aKey,
+                               const std::string& aValue,
+                               record_version aVersion)
+{
+  const auto written = mContext.mPorts.mStore.Put(
+    aKey, aValue, aVersion.mRevision, 0, mContext.mSettings.mStoreTimeout);
+  const bool isDone = written &&
+                      written.value().mGeneration == aVersion.mGeneration &&
+                      written.value().mOutcome == store_write_outcome::Written;
+  return isDone ? std::optional<record_version>(
+                    { aVersion.mGeneration, written.value().mRevision })
+                : std::nullopt;
+}
+
 void
 failover_runner::WriteMembership(upstream_group& aGroup,
                                  membership_record aRecord)
 {
   const record_version version = aRecord.mVersion;
-  const auto written = mContext.mPorts.mStore.Put(
-    std::string(store_keys::kMembershipPrefix) + aGroup.Service(),
-    EncodeMembershipRecord(aRecord),
-    version.mRevision,
-    0,
-    mContext.mSettings.mStoreTimeout);
-  const bool isDone = written &&
-                      written.value().mGeneration == version.mGeneration &&
-                      written.value().mOutcome == store_write_outcome::Written;
-  std::vector<std::string> members;
-  for (const instance_entry& member : aRecord.mMembers) {
-    members.push_back(member.mId);
-  }
+  const auto written =
+    ReplaceRecord(std::string(store_keys::kMembershipPrefix) + aGroup.Service(),
+                  EncodeMembershipRecord(aRecord),
+                  version);
   Log(log_level::Info,
       "failover",
       "Membership record write finished; retried later if not done. service={} "
       "members=[{}] floor={}.{} done={}",
       aGroup.Service(),
-      fmt::join(members, ","),
+      fmt::join(IdsOf(aRecord.mMembers), ","),
       aRecord.mFloor.mTerm,
       aRecord.mFloor.mIndex,
-      isDone);
-  if (isDone) {
-    aRecord.mVersion.mRevision = written.value().mRevision;
+      written.has_value());
+  if (written) {
+    aRecord.mVersion = *written;
     aGroup.ApplyMembership(aRecord);
   }
 }
@@ -262,15 +268,10 @@
   next.mCommitsStopped = false;
   next.mLeader = leadership.Leader();
   next.mHolder = mContext.Name();
-  const auto written = mContext.mPorts.mStore.Put(
-    std::string(store_keys::kFailoverPrefix) + aGroup.Service(),
-    EncodeFailoverRecord(next),
-    version.mRevision,
-    0,
-    mContext.mSettings.mStoreTimeout);
-  const bool isDone = written &&
-                      written.value().mGeneration == version.mGeneration &&
-                      written.value().mOutcome == store_write_outcome::Written;
+  const auto written =
+    ReplaceRecord(std::string(store_keys::kFailoverPrefix) + aGroup.Service(),
+                  EncodeFailoverRecord(next),
+                  version);
   Log(log_level::Info,
       "failover",
       "Record written again after a restore of the store; it is evidence from "
@@ -278,9 +279,9 @@
       aGroup.Service(),
       next.mLeader,
       version.mGeneration,
-      isDone);
-  if (isDone) {
-    next.mVersion.mRevision = written.value().mRevision;
+      written.has_value());
+  if (written) {
+    next.mVersion = *written;
     aGroup.Leadership().OnRecordChange(next);
     return;
   }
--- a/Source/Sessions/clFailoverRunner.h
+++ b/Source/Sessions/clFailoverRunner.h
@@ -57,6 +57,10 @@
   milliseconds StaggerOf(const upstream_group& aGroup, milliseconds aMax) const;
   /// Starts to write the membership record if it is not up to date.
   void CheckMembership(upstream_group& aGroup, time_point aNow);
+  /// Writes a record if the store has aVersion of it; returns the new version.
+  std::optional<record_version> ReplaceRecord(const std::string& aKey,
+                                              const std::string& aValue,
+                                              record_version aVersion);
   void WriteMembership(upstream_group& aGroup, membership_record aRecord);
   /// True if the directory lists every running instance of the group: no entry
   /// expired during a store outage, or the instances have had time to register
--- a/Source/Sessions/clUpstreamGroup.cxx
+++ b/Source/Sessions/clUpstreamGroup.cxx
@@ -260,7 +260,7 @@
 upstream_group::ApplyEntries(const std::vector<instance_entry>& aEntries)
 {
   const bool isFirst = !mKnownSince && !aEntries.empty();
-  if (isFirst || (mInstances.empty() && !aEntries.empty())) {
+  if (mInstances.empty() && !aEntries.empty()) {
     mLeadership.OnMonitoringStarted(Now());
     mKnownSince = Now();
   }
--- a/Source/Sessions/clUpstreamGroup.h
+++ b/Source/Sessions/clUpstreamGroup.h
@@ -130,7 +130,7 @@
   time_point mStartedAt;
   /// Time by which every statement has a response or an error, since the
   /// process ends soon after; empty while it does not drain.
-  std::optional<time_point> mStatementsEndAt;
+  std::optional<time_point> mStatementsEndAt{};
 
   /// The earlier one of a statement's deadline and mStatementsEndAt.
   time_point LimitDeadline(time_point aDeadline) const
